--- /dev/null
+++ b/Source/Common/log.cxx
@@ -0,0 +1,55 @@
+#include "Common/log.h"
+
+#include <map>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/patternlayout.h>
+
+namespace mango {
+
+bool startLogging(const std::string &level)
+{
+    static const std::map<std::string, log4cxx::LevelPtr> levels = {
+            {"debug", log4cxx::Level::getDebug()},
+            {"info", log4cxx::Level::getInfo()},
+            {"warn", log4cxx::Level::getWarn()},
+            {"error", log4cxx::Level::getError()}};
+    const auto found = levels.find(level);
+    if (found == levels.end()) {
+        return false;
+    }
+    auto layout = std::make_shared<log4cxx::PatternLayout>(
+            LOG4CXX_STR("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p [%c] %m%n"));
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(found->second);
+    return true;
+}
+
+log4cxx::LoggerPtr logger(const char *part)
+{
+    return log4cxx::Logger::getLogger(part);
+}
+
+void logDebug(const char *part, const std::string &sentence)
+{
+    LOG4CXX_DEBUG(logger(part), sentence);
+}
+
+void logInfo(const char *part, const std::string &sentence)
+{
+    LOG4CXX_INFO(logger(part), sentence);
+}
+
+void logWarn(const char *part, const std::string &sentence)
+{
+    LOG4CXX_WARN(logger(part), sentence);
+}
+
+void logError(const char *part, const std::string &sentence)
+{
+    LOG4CXX_ERROR(logger(part), sentence);
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Consensus/replica.cxx
@@ -0,0 +1,363 @@
+#include "Consensus/replica.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Common/log.h"
+#include "State/cluster_state.h"
+#include "Wire/codec.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto proposalTimeout = std::chrono::seconds(5);
+constexpr auto diskRetryDelay = std::chrono::milliseconds(200);
+constexpr auto idleWait = std::chrono::seconds(1);
+constexpr auto handoverTimeout = std::chrono::seconds(2);
+// Entries kept in memory after a snapshot, for followers that are a little behind.
+constexpr std::uint64_t keptEntries = 256;
+
+} // namespace
+
+replica::replica(asio::any_io_executor executor, clock_source &clock, random_source &random,
+                 network &links, disk &files, timeline &events, counters &counted,
+                 replica_options options, state_machine &state)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_random(random)
+    , m_links(links)
+    , m_events(events)
+    , m_counted(counted)
+    , m_options(std::move(options))
+    , m_state(state)
+    , m_storage(files)
+    , m_storageLock(clock)
+    , m_logGrew(clock)
+    , m_committedGrew(clock)
+    , m_roleChanged(clock)
+{}
+
+asio::awaitable<result<done, disk_failure>> replica::open()
+{
+    auto loading = co_await m_storage.load(randomIdentifier(m_random));
+    if (failed(loading)) {
+        co_return failureOf(loading);
+    }
+    stored_replica &loaded = valueOf(loading);
+    if (loaded.tornTail) {
+        logWarn(log_part::storage, "Dropped a log record that was cut short by a crash.");
+    }
+    m_options.self.identity = loaded.identity;
+    m_vote = loaded.vote;
+    m_snapshot = std::move(loaded.snapshot);
+    m_snapshotGroup = m_snapshot.group;
+    if (m_snapshot.index > 0 && !m_state.loadSnapshot(m_snapshot.state)) {
+        co_return disk_failure{disk_failure::kind::corrupt, "snapshot", "not a state"};
+    }
+    m_entries = std::move(loaded.entries);
+    m_firstIndex = m_snapshot.index + 1;
+    m_firstTerm = m_snapshot.term;
+    m_durable = lastIndex();
+    m_committed = m_snapshot.index;
+    m_applied = m_snapshot.index;
+    refreshGroup();
+    // A vote right after a restart could break the lease of a leader heard before it.
+    m_leaderContact = m_clock.now();
+    co_return done{};
+}
+
+void replica::start()
+{
+    asio::co_spawn(m_executor, runElections(), asio::detached);
+    asio::co_spawn(m_executor, runDisk(), asio::detached);
+    asio::co_spawn(m_executor, runApply(), asio::detached);
+    asio::co_spawn(m_executor, runJoin(), asio::detached);
+    asio::co_spawn(m_executor, runMembership(), asio::detached);
+}
+
+asio::awaitable<void> replica::stop()
+{
+    const steady_time limit = m_clock.now() + handoverTimeout;
+    while (m_role == replica_role::leader && m_clock.now() < limit) {
+        m_handingOver = true;
+        const member *successor = nullptr;
+        for (const member &peer : m_group) {
+            const auto progress = m_peers.find(peer.identity);
+            const bool ready = progress != m_peers.end() && peer.voter
+                               && progress->second.matched == lastIndex();
+            if (ready && peer.identity != m_options.self.identity) {
+                successor = &peer;
+            }
+        }
+        if (successor != nullptr) {
+            const auto client = clientOf(successor->address);
+            const call request{0, handover_request{m_vote.term}};
+            co_await client->invoke(request, m_options.heartbeat * 5);
+        }
+        co_await m_roleChanged.waitFor(m_options.heartbeat);
+    }
+    m_stopping = true;
+    m_roleChanged.notifyAll();
+    m_logGrew.notifyAll();
+    m_committedGrew.notifyAll();
+}
+
+asio::awaitable<answer_message> replica::handle(call_message message)
+{
+    if (m_stopping) {
+        co_return call_refused{"the replica is stopping"};
+    }
+    if (auto *vote = std::get_if<vote_request>(&message)) {
+        co_return co_await handleVote(std::move(*vote));
+    }
+    if (auto *append = std::get_if<append_request>(&message)) {
+        co_return co_await handleAppend(std::move(*append));
+    }
+    if (auto *snapshot = std::get_if<snapshot_request>(&message)) {
+        co_return co_await handleSnapshot(std::move(*snapshot));
+    }
+    if (auto *handover = std::get_if<handover_request>(&message)) {
+        if (handover->term == m_vote.term && isVoter()) {
+            asio::co_spawn(m_executor, campaign(true), asio::detached);
+        }
+        co_return acknowledged{};
+    }
+    if (auto *hello = std::get_if<hello_request>(&message)) {
+        co_return handleHello(*hello);
+    }
+    if (auto *form = std::get_if<form_request>(&message)) {
+        co_return co_await handleForm(std::move(*form));
+    }
+    co_return call_refused{"not a call for a replica"};
+}
+
+asio::awaitable<result<verdict, propose_failure>> replica::propose(command change)
+{
+    if (m_role != replica_role::leader || m_handingOver || m_stopping) {
+        co_return propose_failure{propose_failure::kind::notLeader, leaderAddress()};
+    }
+    waiting_proposal waiting{m_vote.term, m_clock.makeTimer(), {}, false};
+    const std::uint64_t index = appendLocally(entry_kind::command, encodeCommand(change));
+    m_waiting[index] = &waiting;
+    co_await waiting.timer->waitFor(proposalTimeout);
+    if (const auto found = m_waiting.find(index);
+        found != m_waiting.end() && found->second == &waiting) {
+        m_waiting.erase(found);
+    }
+    if (waiting.outcome) {
+        co_return std::move(*waiting.outcome);
+    }
+    co_return propose_failure{propose_failure::kind::uncertain, leaderAddress()};
+}
+
+std::uint64_t replica::appendLocally(entry_kind kind, std::string payload)
+{
+    const std::uint64_t index = lastIndex() + 1;
+    m_entries.push_back({index, m_vote.term, kind, std::move(payload)});
+    if (kind == entry_kind::membership) {
+        refreshGroup();
+    }
+    m_logGrew.notifyAll();
+    return index;
+}
+
+asio::awaitable<void> replica::runDisk()
+{
+    while (!m_stopping) {
+        if (lastIndex() <= m_durable) {
+            co_await m_logGrew.waitFor(idleWait);
+            continue;
+        }
+        const auto lock = co_await m_storageLock.acquire();
+        std::vector<log_entry> batch;
+        for (std::uint64_t index = m_durable + 1; index <= lastIndex(); ++index) {
+            batch.push_back(entryAt(index));
+        }
+        if (batch.empty()) {
+            continue;
+        }
+        const std::uint64_t last = batch.back().index;
+        const auto written = co_await m_storage.append(std::move(batch));
+        if (failed(written)) {
+            ++m_counted.at("mango_disk_failures_total");
+            logError(log_part::storage,
+                     "Could not add to the log: " + describe(failureOf(written)) + ".");
+            stepDown();
+            co_await m_clock.sleepFor(diskRetryDelay);
+            continue;
+        }
+        m_durable = last;
+        advanceCommitted();
+    }
+}
+
+asio::awaitable<void> replica::runApply()
+{
+    while (!m_stopping) {
+        if (m_applied >= m_committed) {
+            co_await m_committedGrew.waitFor(idleWait);
+            continue;
+        }
+        while (m_applied < m_committed) {
+            const log_entry entry = entryAt(m_applied + 1);
+            m_applied = entry.index;
+            applyEntry(entry);
+        }
+        if (m_applied - m_snapshot.index >= m_options.snapshotEntries) {
+            co_await takeSnapshot();
+        }
+    }
+}
+
+void replica::applyEntry(const log_entry &entry)
+{
+    if (entry.kind != entry_kind::command) {
+        return;
+    }
+    command change;
+    if (!decodeCommand(entry.payload, change)) {
+        logError(log_part::consensus,
+                 "Entry " + std::to_string(entry.index) + " is of a newer version; stopping.");
+        m_stopping = true;
+        return;
+    }
+    settleProposal(entry.index, entry.term, m_state.apply(entry.index, change));
+}
+
+void replica::settleProposal(std::uint64_t index, std::uint64_t term, verdict outcome)
+{
+    const auto found = m_waiting.find(index);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    if (found->second->term == term) {
+        found->second->outcome = std::move(outcome);
+    }
+    found->second->timer->cancel();
+    m_waiting.erase(found);
+}
+
+void replica::loseProposalsBefore(std::uint64_t index)
+{
+    while (!m_waiting.empty() && m_waiting.begin()->first < index) {
+        m_waiting.begin()->second->timer->cancel();
+        m_waiting.erase(m_waiting.begin());
+    }
+}
+
+asio::awaitable<void> replica::takeSnapshot()
+{
+    stored_snapshot snapshot;
+    snapshot.index = m_applied;
+    snapshot.term = termAt(m_applied);
+    snapshot.group = groupAt(m_applied);
+    snapshot.state = m_state.saveSnapshot();
+    const auto lock = co_await m_storageLock.acquire();
+    if (snapshot.index <= m_snapshot.index) {
+        co_return;
+    }
+    std::vector<log_entry> rest;
+    for (std::uint64_t index = snapshot.index + 1; index <= m_durable; ++index) {
+        rest.push_back(entryAt(index));
+    }
+    const auto saved = co_await m_storage.saveSnapshot(snapshot, std::move(rest));
+    if (failed(saved)) {
+        ++m_counted.at("mango_disk_failures_total");
+        logError(log_part::storage,
+                 "Could not save a snapshot: " + describe(failureOf(saved)) + ".");
+        co_return;
+    }
+    ++m_counted.at("mango_snapshots_total");
+    m_counted.at("mango_snapshot_bytes") = snapshot.state.size();
+    m_snapshot = std::move(snapshot);
+    while (m_firstIndex + keptEntries <= m_snapshot.index) {
+        m_snapshotGroup = groupAt(m_firstIndex);
+        m_firstTerm = m_entries.front().term;
+        m_entries.pop_front();
+        ++m_firstIndex;
+    }
+}
+
+bool replica::leads() const
+{
+    return m_role == replica_role::leader && !m_handingOver && !m_stopping
+           && m_applied >= m_termStart && m_clock.now() < leaseEnd();
+}
+
+host_address replica::leaderAddress() const
+{
+    const member *leader = findMember(m_leader);
+    return leader == nullptr ? host_address{} : leader->address;
+}
+
+replica_status replica::status() const
+{
+    const member *leader = findMember(m_leader);
+    return {m_options.self.name,
+            m_options.self.identity,
+            m_role,
+            m_vote.term,
+            lastIndex(),
+            m_committed,
+            m_applied,
+            m_snapshot.index,
+            leader == nullptr ? "" : leader->name,
+            m_group};
+}
+
+std::uint64_t replica::lastIndex() const
+{
+    return m_firstIndex + m_entries.size() - 1;
+}
+
+std::uint64_t replica::termAt(std::uint64_t index) const
+{
+    if (index + 1 == m_firstIndex) {
+        return m_firstTerm;
+    }
+    return index < m_firstIndex || index > lastIndex() ? 0 : entryAt(index).term;
+}
+
+const log_entry &replica::entryAt(std::uint64_t index) const
+{
+    return m_entries[index - m_firstIndex];
+}
+
+const member *replica::findMember(const std::string &identity) const
+{
+    const auto found = std::find_if(m_group.begin(), m_group.end(), [&](const member &one) {
+        return one.identity == identity;
+    });
+    return found == m_group.end() ? nullptr : &*found;
+}
+
+bool replica::isVoter() const
+{
+    const member *self = findMember(m_options.self.identity);
+    return self != nullptr && self->voter;
+}
+
+std::size_t replica::majority() const
+{
+    const auto voters = std::count_if(m_group.begin(), m_group.end(), [](const member &one) {
+        return one.voter;
+    });
+    return static_cast<std::size_t>(voters) / 2 + 1;
+}
+
+std::shared_ptr<rpc_client> replica::clientOf(const host_address &address)
+{
+    auto &client = m_clients[address];
+    if (!client) {
+        client = std::make_shared<rpc_client>(m_executor, m_clock, m_links, m_events.stamps(),
+                                              address);
+    }
+    return client;
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Consensus/replica_election.cxx
@@ -0,0 +1,245 @@
+#include "Consensus/replica.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Common/log.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto leaderCheckInterval = std::chrono::milliseconds(50);
+// The share of the shortest election timeout that a confirmed leader may count on; the rest
+// covers clocks that run at different rates.
+constexpr int leasePercent = 75;
+
+} // namespace
+
+struct replica::vote_tally
+{
+    explicit vote_tally(clock_source &clock)
+        : changed(clock)
+    {}
+
+    std::size_t granted = 1;
+    std::size_t outstanding = 0;
+    std::uint64_t highestTerm = 0;
+    wake_event changed;
+};
+
+asio::awaitable<void> replica::runElections()
+{
+    while (!m_stopping) {
+        const auto spread = m_options.electionMaximum - m_options.electionMinimum;
+        const auto timeout = m_options.electionMinimum
+                             + std::chrono::milliseconds(m_random.below(
+                                     static_cast<std::uint64_t>(spread.count()) + 1));
+        if (m_role == replica_role::leader) {
+            if (m_clock.now() > leaseEnd() + m_options.electionMaximum) {
+                logWarn(log_part::consensus, "Stepped down: no majority answers.");
+                stepDown();
+            }
+            co_await m_clock.sleepFor(leaderCheckInterval);
+            continue;
+        }
+        const steady_time due = m_leaderContact + timeout;
+        if (m_clock.now() < due) {
+            co_await m_roleChanged.waitFor(due - m_clock.now());
+            continue;
+        }
+        if (isVoter()) {
+            co_await campaign(false);
+        }
+        co_await m_clock.sleepFor(timeout / 4);
+    }
+}
+
+asio::awaitable<void> replica::campaign(bool handover)
+{
+    vote_request request;
+    request.candidate = m_options.self.identity;
+    request.lastIndex = m_durable;
+    request.lastTerm = termAt(m_durable);
+    request.term = m_vote.term + 1;
+    request.trial = true;
+    request.handover = handover;
+    if (!handover) {
+        const bool wouldWin = co_await collectVotes(request);
+        if (!wouldWin) {
+            co_return;
+        }
+    }
+    {
+        const auto lock = co_await m_storageLock.acquire();
+        if (m_role == replica_role::leader || m_stopping || request.term != m_vote.term + 1) {
+            co_return;
+        }
+        const bool adopted = co_await adoptTerm(request.term, m_options.self.identity);
+        if (!adopted) {
+            co_return;
+        }
+        m_role = replica_role::candidate;
+        m_leader.clear();
+        request.lastIndex = m_durable;
+        request.lastTerm = termAt(m_durable);
+    }
+    ++m_counted.at("mango_elections_total");
+    request.trial = false;
+    const bool won = co_await collectVotes(request);
+    if (won && m_role == replica_role::candidate && m_vote.term == request.term) {
+        becomeLeader();
+    }
+}
+
+asio::awaitable<bool> replica::collectVotes(vote_request request)
+{
+    const auto tally = std::make_shared<vote_tally>(m_clock);
+    const std::size_t needed = majority();
+    for (const member &peer : m_group) {
+        if (peer.voter && peer.identity != m_options.self.identity) {
+            ++tally->outstanding;
+            asio::co_spawn(m_executor, askForVote(peer, request, tally), asio::detached);
+        }
+    }
+    const steady_time limit = m_clock.now() + m_options.electionMinimum;
+    while (tally->granted < needed && tally->outstanding > 0 && m_clock.now() < limit) {
+        co_await tally->changed.waitFor(limit - m_clock.now());
+    }
+    if (tally->highestTerm > m_vote.term) {
+        const auto lock = co_await m_storageLock.acquire();
+        if (tally->highestTerm > m_vote.term) {
+            co_await adoptTerm(tally->highestTerm, "");
+            stepDown();
+        }
+        co_return false;
+    }
+    co_return tally->granted >= needed;
+}
+
+asio::awaitable<void> replica::askForVote(member peer, vote_request request,
+                                          std::shared_ptr<vote_tally> tally)
+{
+    const auto client = clientOf(peer.address);
+    const call message{0, std::move(request)};
+    const auto answered = co_await client->invoke(message, m_options.electionMinimum);
+    --tally->outstanding;
+    if (!failed(answered)) {
+        if (const auto *vote = std::get_if<vote_response>(&valueOf(answered))) {
+            tally->granted += vote->granted ? 1 : 0;
+            tally->highestTerm = std::max(tally->highestTerm, vote->granted ? 0 : vote->term);
+        }
+    }
+    tally->changed.notifyAll();
+}
+
+bool replica::candidateIsUpToDate(const vote_request &request) const
+{
+    const std::uint64_t ownTerm = termAt(lastIndex());
+    return request.lastTerm > ownTerm
+           || (request.lastTerm == ownTerm && request.lastIndex >= lastIndex());
+}
+
+asio::awaitable<vote_response> replica::handleVote(vote_request request)
+{
+    const auto lock = co_await m_storageLock.acquire();
+    // An identity outside the group belongs to an emptied or replaced replica.
+    const member *candidate = findMember(request.candidate);
+    if (candidate == nullptr || !candidate->voter || !isVoter()) {
+        co_return vote_response{m_vote.term, false};
+    }
+    const bool leaderIsAlive = m_clock.now() < m_leaderContact + m_options.electionMinimum
+                               || (m_role == replica_role::leader && m_clock.now() < leaseEnd());
+    if (leaderIsAlive && !request.handover) {
+        co_return vote_response{m_vote.term, false};
+    }
+    if (request.term < m_vote.term || !candidateIsUpToDate(request)) {
+        co_return vote_response{m_vote.term, false};
+    }
+    if (request.trial) {
+        co_return vote_response{m_vote.term, request.term > m_vote.term};
+    }
+    if (request.term > m_vote.term) {
+        const bool adopted = co_await adoptTerm(request.term, request.candidate);
+        if (!adopted) {
+            co_return vote_response{m_vote.term, false};
+        }
+        stepDown();
+        m_leaderContact = m_clock.now();
+    }
+    co_return vote_response{m_vote.term, m_vote.votedFor == request.candidate};
+}
+
+// Makes the term and vote durable; the caller holds the storage lock. False when the disk fails.
+asio::awaitable<bool> replica::adoptTerm(std::uint64_t term, std::string votedFor)
+{
+    const stored_vote vote{term, std::move(votedFor)};
+    const auto saved = co_await m_storage.saveVote(vote);
+    if (failed(saved)) {
+        ++m_counted.at("mango_disk_failures_total");
+        logError(log_part::storage, "Could not save a vote: " + describe(failureOf(saved)) + ".");
+        co_return false;
+    }
+    m_vote = vote;
+    co_return true;
+}
+
+void replica::becomeLeader()
+{
+    m_role = replica_role::leader;
+    m_leader = m_options.self.identity;
+    m_handingOver = false;
+    m_peers.clear();
+    m_newcomers.clear();
+    m_termStart = appendLocally(entry_kind::noop, "");
+    logInfo(log_part::consensus, "Leads term " + std::to_string(m_vote.term) + ".");
+    m_events.record("leader elected",
+                    {"", "", m_options.self.name, "term " + std::to_string(m_vote.term)});
+    startPeers();
+    advanceCommitted();
+    m_roleChanged.notifyAll();
+}
+
+void replica::stepDown()
+{
+    if (m_role == replica_role::leader) {
+        m_events.record("leader stepped down",
+                        {"", "", m_options.self.name, "term " + std::to_string(m_vote.term)});
+        m_leaderContact = m_clock.now();
+    }
+    if (m_role != replica_role::follower) {
+        m_role = replica_role::follower;
+        m_leader.clear();
+        loseProposalsBefore(lastIndex() + 1);
+        m_roleChanged.notifyAll();
+        m_logGrew.notifyAll();
+    }
+}
+
+steady_time replica::leaseEnd() const
+{
+    std::vector<steady_time> confirmations;
+    for (const member &one : m_group) {
+        if (!one.voter) {
+            continue;
+        }
+        if (one.identity == m_options.self.identity) {
+            confirmations.push_back(m_clock.now());
+            continue;
+        }
+        const auto progress = m_peers.find(one.identity);
+        confirmations.push_back(progress == m_peers.end() ? steady_time{}
+                                                          : progress->second.confirmed);
+    }
+    if (confirmations.empty()) {
+        return {};
+    }
+    std::sort(confirmations.rbegin(), confirmations.rend());
+    return confirmations[majority() - 1] + m_options.electionMinimum * leasePercent / 100;
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Consensus/replica_membership.cxx
@@ -0,0 +1,195 @@
+#include "Consensus/replica.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Common/log.h"
+#include "Wire/codec.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto joinInterval = std::chrono::milliseconds(300);
+constexpr auto membershipInterval = std::chrono::milliseconds(200);
+// A learner becomes a voter when it is at most that many entries behind.
+constexpr std::uint64_t promotionDistance = 64;
+
+} // namespace
+
+members replica::groupAt(std::uint64_t index) const
+{
+    for (std::uint64_t at = std::min(index, lastIndex()); at >= m_firstIndex; --at) {
+        members group;
+        if (entryAt(at).kind == entry_kind::membership && decode(entryAt(at).payload, group)) {
+            return group;
+        }
+    }
+    return m_snapshotGroup;
+}
+
+// The newest group in the log counts, whether or not it is committed yet.
+void replica::refreshGroup()
+{
+    const members group = groupAt(lastIndex());
+    if (!group.empty()) {
+        m_group = group;
+    }
+}
+
+asio::awaitable<void> replica::runJoin()
+{
+    while (!m_stopping) {
+        if (findMember(m_options.self.identity) != nullptr && lastIndex() > 0) {
+            co_await m_clock.sleepFor(std::chrono::seconds(1));
+            continue;
+        }
+        if (m_group.empty()) {
+            co_await formGroup();
+        }
+        co_await m_clock.sleepFor(joinInterval);
+    }
+}
+
+// Greets every listed replica. When all of them are empty, the one with the first name forms the
+// group; when one is formed already, it learns of this replica's identity by the greeting.
+asio::awaitable<void> replica::formGroup()
+{
+    members found{m_options.self};
+    bool allEmpty = true;
+    for (const member &peer : m_options.listed) {
+        if (peer.name == m_options.self.name) {
+            continue;
+        }
+        const auto client = clientOf(peer.address);
+        const bool formed = lastIndex() > 0;
+        const call greeting{0, hello_request{m_options.self, formed}};
+        const auto answered = co_await client->invoke(greeting, m_options.electionMinimum);
+        const auto *hello =
+                failed(answered) ? nullptr : std::get_if<hello_response>(&valueOf(answered));
+        if (hello == nullptr) {
+            allEmpty = false;
+            continue;
+        }
+        allEmpty = allEmpty && !hello->formed;
+        const bool listsUs =
+                std::any_of(hello->group.begin(), hello->group.end(), [&](const member &one) {
+                    return one.identity == m_options.self.identity;
+                });
+        if (hello->formed && listsUs) {
+            m_group = hello->group;
+            co_return;
+        }
+        found.push_back(hello->self);
+    }
+    const bool first = std::all_of(found.begin(), found.end(), [&](const member &one) {
+        return m_options.self.name <= one.name;
+    });
+    if (!allEmpty || !first || found.size() != m_options.listed.size()) {
+        co_return;
+    }
+    const form_request forming{found};
+    const auto adopted = co_await handleForm(forming);
+    if (!std::holds_alternative<acknowledged>(adopted)) {
+        co_return;
+    }
+    for (const member &peer : found) {
+        if (peer.identity != m_options.self.identity) {
+            const call message{0, forming};
+            co_await clientOf(peer.address)->invoke(message, m_options.electionMinimum);
+        }
+    }
+}
+
+asio::awaitable<answer_message> replica::handleForm(form_request request)
+{
+    const auto lock = co_await m_storageLock.acquire();
+    if (lastIndex() > 0) {
+        co_return call_refused{"the replica is not empty"};
+    }
+    const log_entry first{1, 1, entry_kind::membership, encode(request.group)};
+    const std::vector<log_entry> entries{first};
+    const auto stored = co_await storeEntries(entries);
+    if (failed(stored)) {
+        co_return call_refused{describe(failureOf(stored))};
+    }
+    logInfo(log_part::consensus,
+            "Formed a group of " + std::to_string(request.group.size()) + " replicas.");
+    m_events.record("group formed", {"", "", m_options.self.name, ""});
+    co_return acknowledged{};
+}
+
+hello_response replica::handleHello(const hello_request &request)
+{
+    const bool formed = lastIndex() > 0;
+    if (m_role == replica_role::leader && findMember(request.self.identity) == nullptr) {
+        m_newcomers[request.self.name] = request.self;
+    }
+    return {m_options.self, formed, m_group};
+}
+
+// The next one-step change that is due: a replica that came back with an empty folder first
+// loses its old identity, joins as a learner with the new one, and votes once it has caught up.
+std::optional<members> replica::nextGroup()
+{
+    for (const auto &[name, newcomer] : m_newcomers) {
+        if (findMember(newcomer.identity) != nullptr) {
+            continue;
+        }
+        members group = m_group;
+        const auto old = std::find_if(group.begin(), group.end(), [&](const member &one) {
+            return one.name == name;
+        });
+        if (old == group.end()) {
+            continue;
+        }
+        const bool silent =
+                m_clock.now() > m_peers[old->identity].confirmed + m_options.electionMaximum * 2;
+        if (!silent) {
+            continue;
+        }
+        *old = newcomer;
+        old->voter = false;
+        return group;
+    }
+    for (member &one : m_group) {
+        const auto progress = m_peers.find(one.identity);
+        if (!one.voter && progress != m_peers.end()
+            && progress->second.matched + promotionDistance >= m_committed
+            && progress->second.matched > 0) {
+            members group = m_group;
+            std::find_if(group.begin(), group.end(), [&](const member &other) {
+                return other.identity == one.identity;
+            })->voter = true;
+            return group;
+        }
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<void> replica::runMembership()
+{
+    std::uint64_t lastChange = 0;
+    while (!m_stopping) {
+        co_await m_clock.sleepFor(membershipInterval);
+        // One change at a time: the one before must be committed.
+        if (!leads() || m_committed < lastChange) {
+            continue;
+        }
+        const auto group = nextGroup();
+        if (!group) {
+            continue;
+        }
+        lastChange = appendLocally(entry_kind::membership, encode(*group));
+        ++m_counted.at("mango_membership_changes_total");
+        logInfo(log_part::consensus, "Changes the group of replicas.");
+        m_events.record("membership changed", {"", "", m_options.self.name, ""});
+        startPeers();
+    }
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Consensus/replica_replication.cxx
@@ -0,0 +1,319 @@
+#include "Consensus/replica.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Common/log.h"
+#include "Wire/codec.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t maximumBatchEntries = 512;
+constexpr std::size_t maximumBatchBytes = 1U << 20U;
+constexpr std::size_t snapshotPieceBytes = 256U << 10U;
+constexpr auto appendTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+void replica::startPeers()
+{
+    for (const member &peer : m_group) {
+        if (peer.identity == m_options.self.identity) {
+            continue;
+        }
+        auto [progress, added] = m_peers.try_emplace(peer.identity);
+        if (added) {
+            progress->second.next = lastIndex() + 1;
+        }
+        if (!progress->second.running) {
+            progress->second.running = true;
+            asio::co_spawn(m_executor, replicateTo(peer, m_vote.term), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> replica::replicateTo(member peer, std::uint64_t term)
+{
+    while (!m_stopping && m_role == replica_role::leader && m_vote.term == term
+           && findMember(peer.identity) != nullptr) {
+        const bool behind = m_peers[peer.identity].next < m_firstIndex;
+        bool delivered = false;
+        if (behind) {
+            delivered = co_await sendSnapshot(peer, term);
+        } else {
+            delivered = co_await sendEntries(peer, term);
+        }
+        if (m_role != replica_role::leader || m_vote.term != term) {
+            co_return;
+        }
+        if (!delivered) {
+            co_await m_clock.sleepFor(m_options.heartbeat);
+        } else if (m_peers[peer.identity].next > lastIndex()) {
+            co_await m_logGrew.waitFor(m_options.heartbeat);
+        }
+    }
+    // The progress of a later term belongs to that term's coroutine.
+    if (m_role == replica_role::leader && m_vote.term == term) {
+        m_peers.erase(peer.identity);
+    }
+}
+
+asio::awaitable<bool> replica::sendEntries(const member &peer, std::uint64_t term)
+{
+    append_request request;
+    request.term = term;
+    request.leader = m_options.self.identity;
+    const std::uint64_t next = m_peers[peer.identity].next;
+    request.previousIndex = next - 1;
+    request.previousTerm = termAt(next - 1);
+    request.committed = m_committed;
+    std::size_t bytes = 0;
+    for (std::uint64_t index = next; index <= lastIndex(); ++index) {
+        if (request.entries.size() >= maximumBatchEntries || bytes >= maximumBatchBytes) {
+            break;
+        }
+        request.entries.push_back(entryAt(index));
+        bytes += request.entries.back().payload.size();
+    }
+    const steady_time sentAt = m_clock.now();
+    const auto client = clientOf(peer.address);
+    const call message{0, std::move(request)};
+    const auto answered = co_await client->invoke(message, appendTimeout);
+    if (m_role != replica_role::leader || m_vote.term != term || failed(answered)) {
+        co_return false;
+    }
+    const auto *response = std::get_if<append_response>(&valueOf(answered));
+    if (response == nullptr) {
+        co_return false;
+    }
+    if (response->term > term) {
+        const auto lock = co_await m_storageLock.acquire();
+        if (response->term > m_vote.term) {
+            co_await adoptTerm(response->term, "");
+            stepDown();
+        }
+        co_return false;
+    }
+    peer_progress &progress = m_peers[peer.identity];
+    progress.confirmed = std::max(progress.confirmed, sentAt);
+    if (response->accepted) {
+        progress.matched = std::max(progress.matched, response->matched);
+        progress.next = progress.matched + 1;
+        advanceCommitted();
+        co_return true;
+    }
+    progress.next = std::max<std::uint64_t>(1, std::min(response->matched + 1, next - 1));
+    co_return next > 1;
+}
+
+asio::awaitable<bool> replica::sendSnapshot(const member &peer, std::uint64_t term)
+{
+    const stored_snapshot snapshot = m_snapshot;
+    logInfo(log_part::consensus, "Sends a snapshot of " + std::to_string(snapshot.state.size())
+                                         + " bytes to " + peer.name + ".");
+    const auto client = clientOf(peer.address);
+    std::uint64_t offset = 0;
+    while (m_role == replica_role::leader && m_vote.term == term) {
+        snapshot_request request;
+        request.term = term;
+        request.leader = m_options.self.identity;
+        request.index = snapshot.index;
+        request.indexTerm = snapshot.term;
+        request.group = snapshot.group;
+        request.offset = offset;
+        request.piece = snapshot.state.substr(offset, snapshotPieceBytes);
+        request.last = offset + request.piece.size() == snapshot.state.size();
+        const bool last = request.last;
+        const steady_time sentAt = m_clock.now();
+        const call message{0, std::move(request)};
+        const auto answered = co_await client->invoke(message, appendTimeout * 5);
+        const auto *response =
+                failed(answered) ? nullptr : std::get_if<snapshot_response>(&valueOf(answered));
+        if (response == nullptr || response->term != term || m_role != replica_role::leader
+            || m_vote.term != term) {
+            co_return false;
+        }
+        peer_progress &progress = m_peers[peer.identity];
+        progress.confirmed = std::max(progress.confirmed, sentAt);
+        if (last && response->nextOffset == snapshot.state.size()) {
+            progress.matched = std::max(progress.matched, snapshot.index);
+            progress.next = snapshot.index + 1;
+            co_return true;
+        }
+        offset = std::min<std::uint64_t>(response->nextOffset, snapshot.state.size());
+    }
+    co_return false;
+}
+
+void replica::advanceCommitted()
+{
+    if (m_role != replica_role::leader) {
+        return;
+    }
+    std::vector<std::uint64_t> matched;
+    for (const member &one : m_group) {
+        if (one.voter) {
+            const bool self = one.identity == m_options.self.identity;
+            matched.push_back(self ? m_durable : m_peers[one.identity].matched);
+        }
+    }
+    if (matched.empty()) {
+        return;
+    }
+    std::sort(matched.rbegin(), matched.rend());
+    const std::uint64_t agreed = matched[majority() - 1];
+    // Entries of earlier terms are committed only together with one of this term.
+    if (agreed > m_committed && termAt(agreed) == m_vote.term) {
+        m_committed = agreed;
+        m_committedGrew.notifyAll();
+    }
+}
+
+asio::awaitable<void> replica::acknowledgeLeader(std::uint64_t term, std::string leader)
+{
+    if (term > m_vote.term) {
+        const bool adopted = co_await adoptTerm(term, "");
+        if (!adopted) {
+            co_return;
+        }
+        stepDown();
+    }
+    if (m_role == replica_role::candidate) {
+        stepDown();
+    }
+    m_leader = std::move(leader);
+    m_leaderContact = m_clock.now();
+}
+
+asio::awaitable<append_response> replica::handleAppend(append_request request)
+{
+    const auto lock = co_await m_storageLock.acquire();
+    if (request.term < m_vote.term) {
+        co_return append_response{m_vote.term, false, 0};
+    }
+    co_await acknowledgeLeader(request.term, request.leader);
+    if (request.term != m_vote.term || m_role == replica_role::leader) {
+        co_return append_response{m_vote.term, false, 0};
+    }
+    // What this replica appended as a leader and never wrote is of no use to anyone.
+    while (lastIndex() > m_durable) {
+        m_entries.pop_back();
+    }
+    if (request.previousIndex > lastIndex()) {
+        co_return append_response{m_vote.term, false, lastIndex()};
+    }
+    const bool known = request.previousIndex + 1 < m_firstIndex
+                       || termAt(request.previousIndex) == request.previousTerm;
+    if (!known) {
+        co_return append_response{m_vote.term, false,
+                                  std::max(m_committed, request.previousIndex - 1)};
+    }
+    const std::uint64_t matched = request.previousIndex + request.entries.size();
+    const std::uint64_t committed = std::min(request.committed, matched);
+    const auto stored = co_await storeEntries(std::move(request.entries));
+    if (failed(stored)) {
+        ++m_counted.at("mango_disk_failures_total");
+        logError(log_part::storage,
+                 "Could not store entries: " + describe(failureOf(stored)) + ".");
+        co_return append_response{m_vote.term, false, lastIndex()};
+    }
+    if (committed > m_committed) {
+        m_committed = committed;
+        m_committedGrew.notifyAll();
+    }
+    m_leaderContact = m_clock.now();
+    co_return append_response{m_vote.term, true, matched};
+}
+
+// Adds the entries that are new, after removing those that differ; the caller holds the lock.
+asio::awaitable<result<done, disk_failure>> replica::storeEntries(std::vector<log_entry> entries)
+{
+    std::vector<log_entry> added;
+    for (log_entry &entry : entries) {
+        if (!added.empty()) {
+            added.push_back(std::move(entry));
+            continue;
+        }
+        if (entry.index < m_firstIndex || termAt(entry.index) == entry.term) {
+            continue;
+        }
+        if (entry.index <= lastIndex()) {
+            const auto cut = co_await m_storage.truncateFrom(entry.index);
+            if (failed(cut)) {
+                co_return failureOf(cut);
+            }
+            while (lastIndex() >= entry.index) {
+                m_entries.pop_back();
+            }
+            m_durable = lastIndex();
+            refreshGroup();
+        }
+        added.push_back(std::move(entry));
+    }
+    if (added.empty()) {
+        co_return done{};
+    }
+    const auto written = co_await m_storage.append(added);
+    if (failed(written)) {
+        co_return failureOf(written);
+    }
+    const bool changesGroup = std::any_of(added.begin(), added.end(), [](const log_entry &entry) {
+        return entry.kind == entry_kind::membership;
+    });
+    m_entries.insert(m_entries.end(), added.begin(), added.end());
+    m_durable = lastIndex();
+    if (changesGroup) {
+        refreshGroup();
+    }
+    co_return done{};
+}
+
+asio::awaitable<snapshot_response> replica::handleSnapshot(snapshot_request request)
+{
+    const auto lock = co_await m_storageLock.acquire();
+    if (request.term < m_vote.term) {
+        co_return snapshot_response{m_vote.term, 0};
+    }
+    co_await acknowledgeLeader(request.term, request.leader);
+    if (request.offset == 0) {
+        m_incomingSnapshot.clear();
+    }
+    if (request.offset != m_incomingSnapshot.size()) {
+        co_return snapshot_response{m_vote.term, m_incomingSnapshot.size()};
+    }
+    m_incomingSnapshot += request.piece;
+    const std::uint64_t received = m_incomingSnapshot.size();
+    if (!request.last) {
+        co_return snapshot_response{m_vote.term, received};
+    }
+    stored_snapshot snapshot{request.index, request.indexTerm, request.group,
+                             std::exchange(m_incomingSnapshot, {})};
+    if (snapshot.index <= m_applied) {
+        co_return snapshot_response{m_vote.term, received};
+    }
+    const auto saved = co_await m_storage.saveSnapshot(snapshot, {});
+    if (failed(saved) || !m_state.loadSnapshot(snapshot.state)) {
+        logError(log_part::storage, "Could not take in a snapshot.");
+        co_return snapshot_response{m_vote.term, 0};
+    }
+    m_entries.clear();
+    m_firstIndex = snapshot.index + 1;
+    m_firstTerm = snapshot.term;
+    m_snapshotGroup = snapshot.group;
+    m_durable = snapshot.index;
+    m_committed = snapshot.index;
+    m_applied = snapshot.index;
+    m_snapshot = std::move(snapshot);
+    loseProposalsBefore(m_firstIndex);
+    refreshGroup();
+    m_leaderContact = m_clock.now();
+    co_return snapshot_response{m_vote.term, received};
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Consensus/replica_storage.cxx
@@ -0,0 +1,284 @@
+#include "Consensus/replica_storage.h"
+
+#include <algorithm>
+
+#include "Wire/codec.h"
+#include "Wire/frame_codec.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char *identityFile = "identity";
+constexpr const char *voteFile = "vote";
+constexpr const char *snapshotFile = "snapshot";
+constexpr const char *logPrefix = "log-";
+constexpr std::size_t recordHeadBytes = 8;
+
+std::uint32_t readNumber(const std::string &bytes, std::size_t at)
+{
+    std::uint32_t number = 0;
+    std::memcpy(&number, bytes.data() + at, sizeof number);
+    return number;
+}
+
+// A value with its checksum before it.
+template<class Value>
+std::string sealed(const Value &value)
+{
+    const std::string bytes = encode(value);
+    const std::uint32_t checksum = checksumOf(bytes);
+    return std::string(reinterpret_cast<const char *>(&checksum), sizeof checksum) + bytes;
+}
+
+template<class Value>
+bool unseal(const std::string &bytes, Value &value)
+{
+    if (bytes.size() < sizeof(std::uint32_t)) {
+        return false;
+    }
+    const std::string_view content = std::string_view(bytes).substr(sizeof(std::uint32_t));
+    return checksumOf(content) == readNumber(bytes, 0) && decode(content, value);
+}
+
+// Reads a sealed file into the value; a missing file leaves it as it is.
+template<class Value>
+asio::awaitable<result<done, disk_failure>> loadSealed(disk &files, std::string name, Value &value)
+{
+    auto content = co_await files.read(name);
+    if (failed(content)) {
+        co_return failureOf(content);
+    }
+    if (valueOf(content) && !unseal(*valueOf(content), value)) {
+        co_return disk_failure{disk_failure::kind::corrupt, name, "wrong checksum"};
+    }
+    co_return done{};
+}
+
+// True when a whole, valid record starts anywhere after the position: the bytes there were then
+// damaged later, not cut short by a crash.
+bool validRecordFollows(const std::string &bytes, std::size_t position)
+{
+    for (std::size_t at = position + 1; at + recordHeadBytes < bytes.size(); ++at) {
+        const std::size_t length = readNumber(bytes, at);
+        if (length == 0 || length > bytes.size() - at - recordHeadBytes) {
+            continue;
+        }
+        log_entry entry;
+        const std::string_view content(bytes.data() + at + recordHeadBytes, length);
+        if (checksumOf(content) == readNumber(bytes, at + 4) && decode(content, entry)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+std::string encodeRecord(const log_entry &entry)
+{
+    const std::string content = encode(entry);
+    const std::uint32_t head[2] = {static_cast<std::uint32_t>(content.size()), checksumOf(content)};
+    return std::string(reinterpret_cast<const char *>(head), sizeof head) + content;
+}
+
+std::vector<log_entry> decodeRecords(const std::string &bytes, std::size_t &consumed)
+{
+    std::vector<log_entry> entries;
+    consumed = 0;
+    while (bytes.size() - consumed >= recordHeadBytes) {
+        const std::size_t length = readNumber(bytes, consumed);
+        if (length > bytes.size() - consumed - recordHeadBytes) {
+            break;
+        }
+        const std::string_view content(bytes.data() + consumed + recordHeadBytes, length);
+        log_entry entry;
+        if (checksumOf(content) != readNumber(bytes, consumed + 4) || !decode(content, entry)) {
+            break;
+        }
+        entries.push_back(std::move(entry));
+        consumed += recordHeadBytes + length;
+    }
+    return entries;
+}
+
+replica_storage::replica_storage(disk &files)
+    : m_files(files)
+{}
+
+asio::awaitable<result<stored_replica, disk_failure>> replica_storage::load(std::string newIdentity)
+{
+    stored_replica loaded;
+    const auto identity = co_await loadSealed(m_files, identityFile, loaded.identity);
+    if (failed(identity)) {
+        co_return failureOf(identity);
+    }
+    if (loaded.identity.empty()) {
+        loaded.identity = newIdentity;
+        const auto saved = co_await m_files.replace(identityFile, sealed(newIdentity));
+        if (failed(saved)) {
+            co_return failureOf(saved);
+        }
+    }
+    const auto vote = co_await loadSealed(m_files, voteFile, loaded.vote);
+    if (failed(vote)) {
+        co_return failureOf(vote);
+    }
+    const auto snapshot = co_await loadSealed(m_files, snapshotFile, loaded.snapshot);
+    if (failed(snapshot)) {
+        co_return failureOf(snapshot);
+    }
+    const auto log = co_await loadLog(loaded);
+    if (failed(log)) {
+        co_return failureOf(log);
+    }
+    co_return loaded;
+}
+
+asio::awaitable<result<done, disk_failure>> replica_storage::loadLog(stored_replica &loaded)
+{
+    const auto names = co_await m_files.list();
+    if (failed(names)) {
+        co_return failureOf(names);
+    }
+    // The youngest log that joins the snapshot; older ones were left by a crash while switching.
+    std::vector<std::uint64_t> starts;
+    for (const std::string &name : valueOf(names)) {
+        const auto start = parseCount(name.starts_with(logPrefix) ? name.substr(4) : "");
+        if (!failed(start) && valueOf(start) <= loaded.snapshot.index + 1) {
+            starts.push_back(valueOf(start));
+        }
+    }
+    if (starts.empty()) {
+        co_return co_await startLog(loaded.snapshot.index + 1, {});
+    }
+    m_firstIndex = *std::max_element(starts.begin(), starts.end());
+    m_logName = logPrefix + std::to_string(m_firstIndex);
+    const auto content = co_await m_files.read(m_logName);
+    if (failed(content)) {
+        co_return failureOf(content);
+    }
+    const std::string bytes = valueOf(content).value_or("");
+    std::size_t consumed = 0;
+    std::vector<log_entry> entries = decodeRecords(bytes, consumed);
+    if (consumed < bytes.size()) {
+        if (validRecordFollows(bytes, consumed)) {
+            co_return disk_failure{disk_failure::kind::corrupt, m_logName,
+                                   "a damaged record at byte " + std::to_string(consumed)};
+        }
+        loaded.tornTail = true;
+        const auto cut = co_await m_files.truncate(m_logName, consumed);
+        if (failed(cut)) {
+            co_return failureOf(cut);
+        }
+    }
+    m_logBytes = 0;
+    bool joinsSnapshot = true;
+    for (const log_entry &entry : entries) {
+        m_offsets.push_back(m_logBytes);
+        m_logBytes += encodeRecord(entry).size();
+        if (entry.index == loaded.snapshot.index && entry.term != loaded.snapshot.term) {
+            joinsSnapshot = false;
+        }
+        if (entry.index > loaded.snapshot.index && joinsSnapshot) {
+            loaded.entries.push_back(entry);
+        }
+    }
+    const bool endsBeforeSnapshot = m_firstIndex + entries.size() < loaded.snapshot.index + 1;
+    if (!joinsSnapshot || endsBeforeSnapshot) {
+        co_return co_await startLog(loaded.snapshot.index + 1, {});
+    }
+    co_return done{};
+}
+
+asio::awaitable<result<done, disk_failure>> replica_storage::saveVote(stored_vote vote)
+{
+    return m_files.replace(voteFile, sealed(vote));
+}
+
+asio::awaitable<result<done, disk_failure>> replica_storage::append(std::vector<log_entry> entries)
+{
+    if (m_broken) {
+        co_return disk_failure{disk_failure::kind::inputOutput, m_logName,
+                               "an earlier failure could not be undone"};
+    }
+    std::string bytes;
+    std::vector<std::uint64_t> offsets;
+    for (const log_entry &entry : entries) {
+        offsets.push_back(m_logBytes + bytes.size());
+        bytes += encodeRecord(entry);
+    }
+    const std::uint64_t size = bytes.size();
+    const auto written = co_await m_files.append(m_logName, std::move(bytes));
+    if (failed(written)) {
+        co_await cutLog(m_logBytes);
+        co_return failureOf(written);
+    }
+    m_offsets.insert(m_offsets.end(), offsets.begin(), offsets.end());
+    m_logBytes += size;
+    co_return done{};
+}
+
+asio::awaitable<result<done, disk_failure>> replica_storage::cutLog(std::uint64_t size)
+{
+    const auto cut = co_await m_files.truncate(m_logName, size);
+    m_broken = failed(cut);
+    if (!m_broken) {
+        m_logBytes = size;
+    }
+    co_return cut;
+}
+
+asio::awaitable<result<done, disk_failure>> replica_storage::truncateFrom(std::uint64_t index)
+{
+    if (index < m_firstIndex || index >= m_firstIndex + m_offsets.size()) {
+        co_return done{};
+    }
+    const std::size_t kept = index - m_firstIndex;
+    const auto cut = co_await cutLog(m_offsets[kept]);
+    if (!failed(cut)) {
+        m_offsets.resize(kept);
+    }
+    co_return cut;
+}
+
+asio::awaitable<result<done, disk_failure>>
+replica_storage::saveSnapshot(stored_snapshot snapshot, std::vector<log_entry> rest)
+{
+    const std::uint64_t firstIndex = snapshot.index + 1;
+    const auto saved = co_await m_files.replace(snapshotFile, sealed(snapshot));
+    if (failed(saved)) {
+        co_return failureOf(saved);
+    }
+    co_return co_await startLog(firstIndex, rest);
+}
+
+asio::awaitable<result<done, disk_failure>>
+replica_storage::startLog(std::uint64_t firstIndex, const std::vector<log_entry> &entries)
+{
+    const std::string oldName = m_logName;
+    const std::string newName = logPrefix + std::to_string(firstIndex);
+    std::string bytes;
+    std::deque<std::uint64_t> offsets;
+    for (const log_entry &entry : entries) {
+        offsets.push_back(bytes.size());
+        bytes += encodeRecord(entry);
+    }
+    const std::uint64_t size = bytes.size();
+    const auto written = co_await m_files.replace(newName, std::move(bytes));
+    if (failed(written)) {
+        co_return failureOf(written);
+    }
+    m_logName = newName;
+    m_firstIndex = firstIndex;
+    m_offsets = std::move(offsets);
+    m_logBytes = size;
+    if (!oldName.empty() && oldName != newName) {
+        co_await m_files.remove(oldName);
+    }
+    co_return done{};
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Consensus/replica_storage.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+
+#include "Storage/disk.h"
+#include "Wire/messages.h"
+
+namespace mango {
+
+// The term a replica is in and whom it voted for in it.
+struct stored_vote
+{
+    std::uint64_t term = 0;
+    std::string votedFor;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(term, votedFor);
+    }
+};
+
+// The state up to an index of the log, with the group as of then.
+struct stored_snapshot
+{
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    members group;
+    std::string state;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(index, term, group, state);
+    }
+};
+
+// What a replica found in its data folder when it started.
+struct stored_replica
+{
+    std::string identity;
+    stored_vote vote;
+    stored_snapshot snapshot;
+    std::deque<log_entry> entries;
+    bool tornTail = false;
+};
+
+// The durable files of one replica: identity, vote, snapshot and log. The log is a file of records,
+// each with its length and checksum; a record that was cut short at the end is dropped on load,
+// since it was never acknowledged.
+class replica_storage
+{
+public:
+    explicit replica_storage(disk &files);
+
+    // Reads everything; an empty folder gets the identity given. Fails when a file is corrupt
+    // before its end.
+    boost::asio::awaitable<result<stored_replica, disk_failure>> load(std::string newIdentity);
+
+    boost::asio::awaitable<result<done, disk_failure>> saveVote(stored_vote vote);
+
+    // Adds entries after the last one. On a failure the file is cut back to what it held before;
+    // when that fails too, every later call fails until the process starts again.
+    boost::asio::awaitable<result<done, disk_failure>> append(std::vector<log_entry> entries);
+
+    // Removes all entries from the index on.
+    boost::asio::awaitable<result<done, disk_failure>> truncateFrom(std::uint64_t index);
+
+    // Replaces the snapshot and starts a new log with the entries that follow it.
+    boost::asio::awaitable<result<done, disk_failure>> saveSnapshot(stored_snapshot snapshot,
+                                                                    std::vector<log_entry> rest);
+
+private:
+    boost::asio::awaitable<result<done, disk_failure>> cutLog(std::uint64_t size);
+    boost::asio::awaitable<result<done, disk_failure>>
+    startLog(std::uint64_t firstIndex, const std::vector<log_entry> &entries);
+    boost::asio::awaitable<result<done, disk_failure>> loadLog(stored_replica &loaded);
+
+    disk &m_files;
+    std::string m_logName;
+    std::uint64_t m_firstIndex = 1;
+    std::uint64_t m_logBytes = 0;
+    // The size of the log file before each entry, from m_firstIndex on.
+    std::deque<std::uint64_t> m_offsets;
+    bool m_broken = false;
+};
+
+// A log record as bytes: length, checksum, entry.
+std::string encodeRecord(const log_entry &entry);
+
+// Reads records until the bytes end or a record is not whole; `consumed` is where it stopped.
+std::vector<log_entry> decodeRecords(const std::string &bytes, std::size_t &consumed);
+
+} // namespace mango
--- /dev/null
+++ b/Source/Control/admin_api.cxx
@@ -0,0 +1,344 @@
+#include "Control/admin_api.h"
+
+#include <boost/json.hpp>
+#include <openssl/crypto.h>
+
+#include "State/queries.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint32_t shownTasks = 200;
+
+http_answer jsonAnswer(unsigned status, const json::value &body, const char *outcome = "answered")
+{
+    return {status,
+            {{"Content-Type", "application/json"}, {"Mango-Outcome", outcome}},
+            json::serialize(body) + "\n"};
+}
+
+http_answer refuse(unsigned status, const std::string &reason, const char *outcome = "not-run")
+{
+    http_answer answer = jsonAnswer(status, json::object{{"error", reason}}, outcome);
+    if (status == 503 || status == 504) {
+        answer.headers.emplace_back("Retry-After", "1");
+    }
+    return answer;
+}
+
+bool tokenMatches(const http_request &request, const std::string &token)
+{
+    const std::string expected = "Bearer " + token;
+    const std::string given = headerValue(request.headers, "Authorization");
+    return given.size() == expected.size()
+           && CRYPTO_memcmp(given.data(), expected.data(), given.size()) == 0;
+}
+
+json::object configState(const leader_state &leader)
+{
+    const cluster_state &state = leader.shared.machine.state();
+    json::array waiting;
+    for (const auto &[id, session] : leader.sessions) {
+        if (session.configVersion < state.configVersion) {
+            waiting.push_back(json::string(session.name));
+        }
+    }
+    const bool inForce = waiting.empty() && !inEntryGrace(leader);
+    return {{"version", state.configVersion},
+            {"in_force", inForce},
+            {"waiting_for", std::move(waiting)}};
+}
+
+http_answer verdictAnswer(const result<verdict, propose_failure> &agreed)
+{
+    if (failed(agreed)) {
+        const bool notRun = failureOf(agreed).reason == propose_failure::kind::notLeader;
+        return notRun ? refuse(503, "not the leader")
+                      : refuse(504, "the outcome is unknown; send the same change id again",
+                               "unknown");
+    }
+    return std::visit(
+            overloaded{[](const change_accepted &accepted) {
+                           return jsonAnswer(200, json::object{{"accepted", true},
+                                                               {"version", accepted.version}});
+                       },
+                       [](const change_refused &refused) {
+                           const unsigned status = refused.reason == refusal::invalidTable ? 422
+                                                   : refused.reason == refusal::unknownJob ? 404
+                                                                                           : 409;
+                           return jsonAnswer(
+                                   status,
+                                   json::object{{"accepted", false},
+                                                {"current_version", refused.currentVersion},
+                                                {"error", refused.detail.empty()
+                                                                  ? "the version is another one"
+                                                                  : refused.detail}},
+                                   "not-run");
+                       },
+                       [](const auto &) {
+                           return refuse(409, "unexpected verdict");
+                       }},
+            valueOf(agreed));
+}
+
+// The fields of a change request; `valid` is false when the body has not got them.
+struct change_fields
+{
+    bool valid = false;
+    std::uint64_t expectedVersion = 0;
+    std::string changeId;
+    std::string text;
+    bool inService = true;
+};
+
+change_fields readChange(const std::string &body)
+{
+    change_fields fields;
+    boost::system::error_code error;
+    const json::value parsed = json::parse(body, error);
+    const json::object *object = error ? nullptr : parsed.if_object();
+    const json::value *expected =
+            object == nullptr ? nullptr : object->if_contains("expected_version");
+    if (expected == nullptr) {
+        return fields;
+    }
+    fields.expectedVersion = expected->to_number<std::uint64_t>(error);
+    fields.valid = !error;
+    if (const json::value *changeId = object->if_contains("change_id");
+        changeId != nullptr && changeId->is_string()) {
+        fields.changeId = std::string(changeId->as_string());
+    }
+    if (const json::value *text = object->if_contains("text");
+        text != nullptr && text->is_string()) {
+        fields.text = std::string(text->as_string());
+    }
+    if (const json::value *inService = object->if_contains("in_service");
+        inService != nullptr && inService->is_bool()) {
+        fields.inService = inService->as_bool();
+    }
+    return fields;
+}
+
+http_answer showTable(const leader_state &leader, table_kind table)
+{
+    const cluster_state &state = leader.shared.machine.state();
+    const auto found = state.tables.find(table);
+    const table_record record = found == state.tables.end() ? table_record{} : found->second;
+    return jsonAnswer(200, json::object{{"version", record.version}, {"text", record.text}});
+}
+
+http_answer showDomains(const leader_state &leader)
+{
+    const cluster_state &state = leader.shared.machine.state();
+    std::map<std::string, domain_record> domains = state.domains;
+    for (const auto &[name, worker] : leader.workers) {
+        if (!worker->announced.failureDomain.empty()) {
+            domains.try_emplace(worker->announced.failureDomain);
+        }
+    }
+    json::array rows;
+    for (const auto &[name, record] : domains) {
+        rows.push_back(json::object{
+                {"domain", name}, {"in_service", record.inService}, {"version", record.version}});
+    }
+    return jsonAnswer(200, rows);
+}
+
+http_answer showWorkers(const leader_state &leader)
+{
+    json::array rows;
+    for (const auto &[name, worker] : leader.workers) {
+        rows.push_back(json::object{
+                {"worker", name},
+                {"failure_domain", worker->announced.failureDomain},
+                {"rack", worker->announced.rack},
+                {"address", toText(worker->announced.address)},
+                {"serving", isServing(leader, *worker)},
+                {"leaving", worker->leaving},
+                {"quarantined", leader.shared.clock.now() < worker->health.quarantinedUntil},
+                {"slots", worker->announced.slots},
+                {"credits", grantedCredits(worker->credits)},
+                {"tasks", worker->runs.size()},
+                {"slowdown", worker->interference.slowdown},
+                {"throttled", worker->interference.throttled}});
+    }
+    return jsonAnswer(200, rows);
+}
+
+http_answer showJobs(const leader_state &leader)
+{
+    json::array rows;
+    for (const auto &[id, job] : leader.shared.machine.state().jobs) {
+        rows.push_back(json::object{{"job", id},
+                                    {"team", job.spec.team},
+                                    {"route", job.spec.route},
+                                    {"phase", jobPhase(job)},
+                                    {"tasks", job.spec.taskCount},
+                                    {"finished", job.finishedTasks}});
+    }
+    return jsonAnswer(200, rows);
+}
+
+http_answer showStatus(const leader_state &leader)
+{
+    const replica_status status = leader.shared.agreement.status();
+    json::array replicas;
+    for (const member &one : status.group) {
+        replicas.push_back(json::object{{"name", one.name},
+                                        {"address", toText(one.address)},
+                                        {"identity", one.identity},
+                                        {"voter", one.voter},
+                                        {"leads", one.name == status.name}});
+    }
+    json::array entries;
+    for (const auto &[id, session] : leader.sessions) {
+        entries.push_back(json::object{{"name", session.name},
+                                       {"session", id},
+                                       {"failure_domain", session.failureDomain},
+                                       {"config_version", session.configVersion},
+                                       {"leaving", session.leaving}});
+    }
+    std::size_t pending = 0;
+    for (const auto &[key, numbers] : leader.pending) {
+        pending += numbers.size();
+    }
+    return jsonAnswer(200, json::object{{"leader", status.name},
+                                        {"term", status.term},
+                                        {"last_index", status.lastIndex},
+                                        {"committed", status.committed},
+                                        {"snapshot_index", status.snapshotIndex},
+                                        {"replicas", std::move(replicas)},
+                                        {"entries", std::move(entries)},
+                                        {"config", configState(leader)},
+                                        {"workers", leader.workers.size()},
+                                        {"pending_tasks", pending}});
+}
+
+http_answer showQuery(const leader_state &leader, const std::string &path)
+{
+    if (path == "/v1/status") {
+        return showStatus(leader);
+    }
+    if (path == "/v1/tables/routes") {
+        return showTable(leader, table_kind::routes);
+    }
+    if (path == "/v1/tables/pools") {
+        return showTable(leader, table_kind::pools);
+    }
+    if (path == "/v1/domains") {
+        return showDomains(leader);
+    }
+    if (path == "/v1/workers") {
+        return showWorkers(leader);
+    }
+    if (path == "/v1/jobs") {
+        return showJobs(leader);
+    }
+    if (path.starts_with("/v1/jobs/")) {
+        const auto job = parseCount(path.substr(9));
+        const std::string text =
+                failed(job) ? "" : describeJob(leader.shared.machine.state(), valueOf(job));
+        if (!text.empty()) {
+            return {200, {{"Content-Type", "application/json"}}, text};
+        }
+    }
+    return refuse(404, "no such page");
+}
+
+asio::awaitable<http_answer> changeState(leader_handle leader, http_request request)
+{
+    const std::string path = pathOf(request.target);
+    if (request.method == "DELETE" && path.starts_with("/v1/jobs/")) {
+        const auto job = parseCount(path.substr(9));
+        if (failed(job)) {
+            co_return refuse(404, "no such job");
+        }
+        const cancel_job_command change{valueOf(job), wallMilliseconds(*leader)};
+        co_return verdictAnswer(co_await leader->shared.agreement.propose(change));
+    }
+    const change_fields fields = readChange(request.body);
+    if (request.method != "PUT") {
+        co_return refuse(405, "use GET, PUT or DELETE");
+    }
+    if (!fields.valid) {
+        co_return refuse(400, "the body must be JSON with expected_version");
+    }
+    if (path == "/v1/tables/routes" || path == "/v1/tables/pools") {
+        const put_table_command change{path.ends_with("routes") ? table_kind::routes
+                                                                : table_kind::pools,
+                                       fields.expectedVersion, fields.text, fields.changeId};
+        co_return verdictAnswer(co_await leader->shared.agreement.propose(change));
+    }
+    if (path.starts_with("/v1/domains/") && path.size() > 12) {
+        const set_domain_command change{path.substr(12), fields.inService, fields.expectedVersion,
+                                        fields.changeId};
+        co_return verdictAnswer(co_await leader->shared.agreement.propose(change));
+    }
+    co_return refuse(404, "no such page");
+}
+
+} // namespace
+
+std::string describeJob(const cluster_state &state, std::uint64_t job)
+{
+    const job_record *record = findJob(state, job);
+    if (record == nullptr) {
+        return "";
+    }
+    static constexpr const char *phases[] = {"pending", "placed", "finished", "failed",
+                                             "cancelled"};
+    json::array tasks;
+    for (std::uint32_t number = 0; number < std::min(record->spec.taskCount, shownTasks);
+         ++number) {
+        const task_record *task = findTask(state, {job, number});
+        tasks.push_back(json::object{{"task", toText(task_id{job, number})},
+                                     {"phase", phases[static_cast<int>(task->phase)]},
+                                     {"worker", task->worker},
+                                     {"epoch", task->epoch},
+                                     {"evictions", task->evictions},
+                                     {"lost_ms", task->lostMs},
+                                     {"outcome", task->outcome}});
+    }
+    return json::serialize(json::object{{"job", job},
+                                        {"phase", jobPhase(*record)},
+                                        {"route", record->spec.route},
+                                        {"team", record->spec.team},
+                                        {"tasks", record->spec.taskCount},
+                                        {"finished", record->finishedTasks},
+                                        {"failed", record->failedTasks},
+                                        {"cancelled", record->cancelledTasks},
+                                        {"runs", std::move(tasks)}})
+           + "\n";
+}
+
+asio::awaitable<http_answer> serveAdmin(control_context &context, leader_handle leader,
+                                        std::string token, http_request request)
+{
+    const std::string path = pathOf(request.target);
+    if (!tokenMatches(request, token)) {
+        ++context.counted.at("mango_admin_unauthorised_total");
+        co_return refuse(401, "a bearer token is needed");
+    }
+    if (path == "/metrics") {
+        co_return http_answer{
+                200, {{"Content-Type", "text/plain; version=0.0.4"}}, context.counted.text()};
+    }
+    if (!leader || !stillLeads(*leader)) {
+        http_answer answer = refuse(503, "not the leader");
+        const host_address address = context.agreement.leaderAddress();
+        if (address.port != 0) {
+            answer.headers.emplace_back("Mango-Leader", toText(address));
+        }
+        co_return answer;
+    }
+    if (request.method == "GET") {
+        co_return showQuery(*leader, path);
+    }
+    co_return co_await changeState(leader, std::move(request));
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Control/cluster_machine.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+
+#include "Consensus/replica.h"
+#include "State/cluster_state.h"
+
+namespace mango {
+
+// The agreed state as the state machine of a replica. Tells an observer of each change, so that
+// the leader keeps its indexes without looking through the whole state.
+class cluster_machine final : public state_machine
+{
+public:
+    using observer = std::function<void(const command &change, const verdict &outcome)>;
+
+    verdict apply(std::uint64_t index, const command &change) override;
+    std::string saveSnapshot() override;
+    bool loadSnapshot(const std::string &bytes) override;
+
+    void observe(observer watching);
+    [[nodiscard]] const cluster_state &state() const
+    {
+        return m_state;
+    }
+
+private:
+    cluster_state m_state;
+    observer m_observer;
+};
+
+} // namespace mango
--- /dev/null
+++ b/Source/Control/control_server.cxx
@@ -0,0 +1,199 @@
+#include "Control/control_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Common/log.h"
+#include "Control/admin_api.h"
+#include "Control/entry_service.h"
+#include "Control/task_scheduler.h"
+#include "State/queries.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto leadershipCheckInterval = std::chrono::milliseconds(20);
+constexpr auto relayTimeout = std::chrono::milliseconds(2000);
+constexpr auto adminDrainTime = std::chrono::seconds(3);
+
+bool isForReplica(const call_message &message)
+{
+    return !std::holds_alternative<entry_report>(message)
+           && !std::holds_alternative<propose_request>(message)
+           && !std::holds_alternative<job_request>(message);
+}
+
+} // namespace
+
+control_server::control_server(asio::any_io_executor executor, clock_source &clock,
+                               random_source &random, network &links, disk &files, timeline &events,
+                               counters &counted, const control_settings &settings,
+                               std::string token)
+    : m_context{executor, clock, random, events, counted, settings, m_replica, m_machine}
+    , m_links(links)
+    , m_replica(executor, clock, random, links, files, events, counted, settings.replicas,
+                m_machine)
+    , m_token(std::move(token))
+{
+    m_admin =
+            makeHttpServer(executor, clock, counted, settings.admin, [this](http_request request) {
+                return serveAdmin(m_context, m_leader, m_token, std::move(request));
+            });
+}
+
+control_server::~control_server()
+{
+    endLeadership();
+}
+
+asio::awaitable<result<done, settings_failure>> control_server::start()
+{
+    const auto opened = co_await m_replica.open();
+    if (failed(opened)) {
+        co_return settings_failure{settings_failure::kind::badValue, "", "[control] data",
+                                   describe(failureOf(opened))};
+    }
+    const auto listening =
+            serveCalls(m_context.executor, m_links, m_context.events.stamps(),
+                       m_context.settings.listen, [this](call message, host_address /*peer*/) {
+                           return handleCall(std::move(message));
+                       });
+    if (failed(listening)) {
+        co_return settings_failure{settings_failure::kind::badValue, "", "[control] listen",
+                                   describe(failureOf(listening))};
+    }
+    const auto admin = m_admin->start();
+    if (failed(admin)) {
+        co_return failureOf(admin);
+    }
+    m_machine.observe([this](const command &change, const verdict & /*outcome*/) {
+        if (m_leader) {
+            followCommand(*m_leader, change);
+        }
+    });
+    m_replica.start();
+    asio::co_spawn(m_context.executor, followLeadership(), asio::detached);
+    co_return done{};
+}
+
+asio::awaitable<void> control_server::stop()
+{
+    co_await m_admin->drain(adminDrainTime);
+    co_await m_replica.stop();
+    m_stopping = true;
+    endLeadership();
+}
+
+asio::awaitable<void> control_server::followLeadership()
+{
+    while (!m_stopping) {
+        const bool current = m_leader && m_replica.isLeader() && m_replica.term() == m_leader->term;
+        if (m_leader && !current) {
+            endLeadership();
+        }
+        if (!m_leader && m_replica.leads()) {
+            beginLeadership();
+        }
+        co_await m_context.clock.sleepFor(leadershipCheckInterval);
+    }
+}
+
+void control_server::beginLeadership()
+{
+    m_leader = std::make_shared<leader_state>(m_context, m_replica.term(), ++m_leaderships);
+    fillIndexes(*m_leader);
+    asio::co_spawn(m_context.executor, runScheduler(m_leader), asio::detached);
+    asio::co_spawn(m_context.executor, runReporter(m_leader), asio::detached);
+    asio::co_spawn(m_context.executor, runExpiry(m_leader), asio::detached);
+}
+
+void control_server::endLeadership()
+{
+    if (!m_leader) {
+        return;
+    }
+    m_leader->active = false;
+    m_leader->scheduleWake.notifyAll();
+    m_leader->reportWake.notifyAll();
+    for (auto &[name, worker] : m_leader->workers) {
+        worker->wake.notifyAll();
+    }
+    m_leader.reset();
+}
+
+asio::awaitable<answer_message> control_server::handleCall(call message)
+{
+    if (isForReplica(message.message)) {
+        co_return co_await m_replica.handle(std::move(message.message));
+    }
+    const leader_handle leader = m_leader;
+    if (leader && stillLeads(*leader)) {
+        co_return co_await handleAsLeader(leader, std::move(message.message));
+    }
+    co_return co_await relay(std::move(message));
+}
+
+asio::awaitable<answer_message> control_server::handleAsLeader(leader_handle leader,
+                                                               call_message message)
+{
+    if (const auto *report = std::get_if<entry_report>(&message)) {
+        for (const worker_announcement &announcement : report->announcements) {
+            takeAnnouncement(leader, announcement);
+        }
+        const auto view = answerEntry(*leader, *report);
+        if (!view) {
+            co_return not_leader{};
+        }
+        co_return *view;
+    }
+    if (const auto *asked = std::get_if<job_request>(&message)) {
+        const std::string text = describeJob(m_machine.state(), asked->job);
+        co_return job_response{!text.empty(), text};
+    }
+    auto &proposal = std::get<propose_request>(message);
+    if (auto *job = std::get_if<submit_job_command>(&proposal.change)) {
+        const std::string never = whyJobNeverRuns(*leader, job->spec);
+        if (!never.empty()) {
+            co_return verdict{change_refused{refusal::invalidJob, 0, never}};
+        }
+    }
+    const auto agreed = co_await m_replica.propose(std::move(proposal.change));
+    if (!failed(agreed)) {
+        co_return valueOf(agreed);
+    }
+    if (failureOf(agreed).reason == propose_failure::kind::notLeader) {
+        co_return not_leader{failureOf(agreed).leader};
+    }
+    co_return uncertain_outcome{"the leader changed"};
+}
+
+// An entry that cannot reach the leader may reach it through this process, one step only.
+asio::awaitable<answer_message> control_server::relay(call message)
+{
+    const host_address leader = m_replica.leaderAddress();
+    if (message.relays > 0 || leader.port == 0 || leader == m_context.settings.listen) {
+        co_return not_leader{};
+    }
+    auto &client = m_relays[leader];
+    if (!client) {
+        client = std::make_shared<rpc_client>(m_context.executor, m_context.clock, m_links,
+                                              m_context.events.stamps(), leader);
+    }
+    message.relays = 1;
+    const bool proposal = std::holds_alternative<propose_request>(message.message);
+    ++m_context.counted.at("mango_relayed_calls_total");
+    const auto answered = co_await client->invoke(std::move(message), relayTimeout);
+    if (!failed(answered)) {
+        co_return valueOf(answered);
+    }
+    const bool neverSent = failureOf(answered).reason == network_failure::kind::connectFailed;
+    if (proposal && !neverSent) {
+        co_return uncertain_outcome{describe(failureOf(answered))};
+    }
+    co_return not_leader{};
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Entry/admission.cxx
@@ -0,0 +1,185 @@
+#include "Entry/admission.h"
+
+#include <algorithm>
+
+namespace mango {
+
+namespace {
+
+constexpr std::size_t smallestQueue = 32;
+constexpr std::size_t queuePerCredit = 8;
+constexpr auto longestRetryAfter = std::chrono::seconds(30);
+
+std::uint32_t usableCredits(const entry_state &entry, const pool_state &state)
+{
+    std::uint32_t sum = 0;
+    for (const worker_handle &worker : state.workers) {
+        sum += mayDispatchTo(entry, *worker) ? worker->view.credit : 0;
+    }
+    return sum;
+}
+
+std::optional<credit> takeCredit(entry_state &entry, pool_state &state,
+                                 const std::set<std::string> &tried)
+{
+    std::vector<selection_candidate> candidates;
+    candidates.reserve(state.workers.size());
+    const steady_time now = entry.clock.now();
+    for (const worker_handle &worker : state.workers) {
+        const bool open = mayDispatchTo(entry, *worker);
+        const bool avoided =
+                now < worker->avoidUntil || (!tried.empty() && tried.contains(worker->view.name));
+        candidates.push_back({worker->inUse, open ? worker->view.credit : 0,
+                              worker->answerMicroseconds, avoided});
+    }
+    const auto chosen = selectWorker(candidates, entry.settings.selection, entry.random);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    const worker_handle &worker = state.workers[*chosen];
+    ++worker->inUse;
+    return credit{worker, worker->generation};
+}
+
+double meanAnswerMicroseconds(const pool_state &state)
+{
+    double sum = 0;
+    std::size_t known = 0;
+    for (const worker_handle &worker : state.workers) {
+        sum += worker->answerMicroseconds;
+        known += worker->answerMicroseconds > 0 ? 1 : 0;
+    }
+    return known == 0 ? 0 : sum / double(known);
+}
+
+// The time a new request would wait, given those that wait at its urgency or above.
+double expectedWaitMicroseconds(const pool_state &state, urgency priority, std::uint32_t credits)
+{
+    std::size_t ahead = 1;
+    for (const waiting_request *other : state.waiting) {
+        ahead += other->priority >= priority ? 1 : 0;
+    }
+    return meanAnswerMicroseconds(state) * double(ahead) / std::max(1U, credits);
+}
+
+// The waiting request to give up for a more urgent one: the last of the least urgent.
+waiting_request *leastUrgentBelow(const pool_state &state, urgency priority)
+{
+    if (state.waiting.empty() || state.waiting.back()->priority >= priority) {
+        return nullptr;
+    }
+    return state.waiting.back();
+}
+
+void enqueue(pool_state &state, waiting_request &waiting)
+{
+    const auto place = std::find_if(state.waiting.begin(), state.waiting.end(),
+                                    [&](const waiting_request *other) {
+                                        return other->priority < waiting.priority;
+                                    });
+    state.waiting.insert(place, &waiting);
+}
+
+void serveQueue(entry_state &entry, pool_state &state)
+{
+    while (!state.waiting.empty()) {
+        const auto taken = takeCredit(entry, state, {});
+        if (!taken) {
+            return;
+        }
+        waiting_request *first = state.waiting.front();
+        state.waiting.pop_front();
+        first->granted = taken;
+        first->timer->cancel();
+    }
+}
+
+} // namespace
+
+bool mayDispatchTo(const entry_state &entry, const worker_link &worker)
+{
+    return worker.view.serving && !entry.domainsOut.contains(worker.view.failureDomain);
+}
+
+boost::asio::awaitable<result<credit, refusal_reason>>
+acquireCredit(entry_state &entry, std::string pool, urgency priority, steady_time deadline,
+              std::set<std::string> tried)
+{
+    const auto found = entry.poolStates.find(pool);
+    if (found == entry.poolStates.end() || found->second.workers.empty()) {
+        co_return refusal_reason::noWorker;
+    }
+    pool_state &state = found->second;
+    if (state.waiting.empty()) {
+        if (const auto taken = takeCredit(entry, state, tried)) {
+            co_return *taken;
+        }
+    }
+    const std::uint32_t credits = usableCredits(entry, state);
+    const double leftMicroseconds =
+            std::chrono::duration<double, std::micro>(deadline - entry.clock.now()).count();
+    if (expectedWaitMicroseconds(state, priority, credits) > leftMicroseconds) {
+        co_return refusal_reason::overloaded;
+    }
+    if (state.waiting.size() >= smallestQueue + queuePerCredit * credits) {
+        waiting_request *shed = leastUrgentBelow(state, priority);
+        if (shed == nullptr) {
+            co_return refusal_reason::overloaded;
+        }
+        state.waiting.remove(shed);
+        shed->shed = true;
+        shed->timer->cancel();
+    }
+    waiting_request waiting{priority, entry.clock.makeTimer(), {}, false};
+    enqueue(state, waiting);
+    co_await waiting.timer->waitFor(std::max(deadline - entry.clock.now(), steady_span(0)));
+    if (waiting.granted) {
+        co_return *waiting.granted;
+    }
+    state.waiting.remove(&waiting);
+    co_return waiting.shed ? refusal_reason::overloaded : refusal_reason::deadlinePassed;
+}
+
+void releaseCredit(entry_state &entry, const credit &held)
+{
+    worker_link &worker = *held.worker;
+    if (worker.generation == held.generation && worker.inUse > 0) {
+        --worker.inUse;
+    }
+    for (auto &[name, state] : entry.poolStates) {
+        if (!state.waiting.empty() && holdsLease(entry)) {
+            serveQueue(entry, state);
+        }
+    }
+}
+
+void serveWaiting(entry_state &entry)
+{
+    for (auto &[name, state] : entry.poolStates) {
+        serveQueue(entry, state);
+    }
+}
+
+void refuseWaiting(entry_state &entry)
+{
+    for (auto &[name, state] : entry.poolStates) {
+        for (waiting_request *waiting : std::exchange(state.waiting, {})) {
+            waiting->shed = true;
+            waiting->timer->cancel();
+        }
+    }
+}
+
+std::chrono::seconds retryAfter(const entry_state &entry, const std::string &pool)
+{
+    const auto found = entry.poolStates.find(pool);
+    if (found == entry.poolStates.end()) {
+        return std::chrono::seconds(5);
+    }
+    const double wait = expectedWaitMicroseconds(found->second, urgency::low,
+                                                 usableCredits(entry, found->second));
+    const auto seconds = std::chrono::seconds(1 + static_cast<long>(wait / 1e6));
+    return std::min(seconds, longestRetryAfter);
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Entry/control_link.cxx
@@ -0,0 +1,146 @@
+#include "Entry/control_link.h"
+
+#include <algorithm>
+
+#include "Common/log.h"
+#include "Entry/admission.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto reportTimeout = std::chrono::milliseconds(400);
+constexpr auto proposalTimeout = std::chrono::milliseconds(1500);
+constexpr auto retryPause = std::chrono::milliseconds(30);
+
+} // namespace
+
+control_link::control_link(entry_state &entry, network &links)
+    : m_entry(entry)
+{
+    for (const host_address &address : entry.settings.control) {
+        m_clients.push_back(std::make_shared<rpc_client>(entry.executor, entry.clock, links,
+                                                         entry.events.stamps(), address));
+    }
+}
+
+void control_link::tryNextReplica()
+{
+    m_current = (m_current + 1) % m_clients.size();
+}
+
+asio::awaitable<result<answer_message, network_failure>> control_link::invoke(call message,
+                                                                              steady_span timeout)
+{
+    const std::size_t used = m_current;
+    auto answered = co_await m_clients[used]->invoke(std::move(message), timeout);
+    const bool useless = failed(answered) || std::holds_alternative<not_leader>(valueOf(answered));
+    if (useless && m_current == used) {
+        tryNextReplica();
+    }
+    co_return answered;
+}
+
+asio::awaitable<bool> control_link::reportOnce(bool complete)
+{
+    const entry_report report = nextReport(m_entry, complete);
+    const steady_time sentAt = m_entry.clock.now();
+    const call message{0, report};
+    const auto answered = co_await invoke(message, reportTimeout);
+    const entry_view *view =
+            failed(answered) ? nullptr : std::get_if<entry_view>(&valueOf(answered));
+    if (view == nullptr) {
+        co_return false;
+    }
+    if (view->reportAgain) {
+        if (complete) {
+            co_return false;
+        }
+        const bool answeredAgain = co_await reportOnce(true);
+        co_return answeredAgain;
+    }
+    const bool hadLease = holdsLease(m_entry);
+    confirmReport(m_entry, report);
+    takeView(m_entry, *view, sentAt);
+    if (!hadLease) {
+        m_entry.events.record("entry has a lease", {"", "", m_entry.settings.name, ""});
+    }
+    co_return true;
+}
+
+asio::awaitable<void> control_link::runReports()
+{
+    bool complete = true;
+    while (!m_stopping) {
+        const bool hadLease = holdsLease(m_entry);
+        const bool answered = co_await reportOnce(complete);
+        complete = !answered;
+        if (hadLease && !holdsLease(m_entry)) {
+            logWarn(log_part::entry, "The lease ran out; refuses requests.");
+            refuseWaiting(m_entry);
+            m_entry.events.record("entry lost its lease", {"", "", m_entry.settings.name, ""});
+        }
+        if (!answered) {
+            co_await m_entry.clock.sleepFor(retryPause);
+        } else if (m_entry.announcements.empty()) {
+            co_await m_entry.reportWake.waitFor(m_entry.settings.reportInterval);
+        }
+    }
+}
+
+asio::awaitable<void> control_link::sayGoodbye()
+{
+    m_stopping = true;
+    entry_report report = nextReport(m_entry, true);
+    report.leaving = true;
+    report.holdings.clear();
+    const call message{0, report};
+    for (std::size_t attempt = 0; attempt < m_clients.size(); ++attempt) {
+        const auto answered = co_await invoke(message, reportTimeout);
+        if (!failed(answered) && std::holds_alternative<entry_view>(valueOf(answered))) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<result<verdict, control_failure>> control_link::propose(command change,
+                                                                        steady_time deadline)
+{
+    bool mayBeTaken = false;
+    const call message{0, propose_request{std::move(change)}};
+    while (m_entry.clock.now() < deadline) {
+        const steady_span left = deadline - m_entry.clock.now();
+        const auto answered =
+                co_await invoke(message, std::min<steady_span>(left, proposalTimeout));
+        if (failed(answered)) {
+            const auto reason = failureOf(answered).reason;
+            mayBeTaken = mayBeTaken || reason != network_failure::kind::connectFailed;
+        } else if (const auto *outcome = std::get_if<verdict>(&valueOf(answered))) {
+            co_return *outcome;
+        } else if (std::holds_alternative<uncertain_outcome>(valueOf(answered))) {
+            mayBeTaken = true;
+        }
+        co_await m_entry.clock.sleepFor(retryPause);
+    }
+    co_return mayBeTaken ? control_failure::uncertain : control_failure::notTaken;
+}
+
+asio::awaitable<result<std::optional<std::string>, control_failure>>
+control_link::askJob(std::uint64_t job, steady_time deadline)
+{
+    const call message{0, job_request{job}};
+    while (m_entry.clock.now() < deadline) {
+        const auto answered = co_await invoke(message, reportTimeout);
+        const auto *found =
+                failed(answered) ? nullptr : std::get_if<job_response>(&valueOf(answered));
+        if (found != nullptr) {
+            co_return found->known ? std::optional(found->text) : std::nullopt;
+        }
+        co_await m_entry.clock.sleepFor(retryPause);
+    }
+    co_return control_failure::notTaken;
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Entry/entry_state.cxx
@@ -0,0 +1,176 @@
+#include "Entry/entry_state.h"
+
+#include <algorithm>
+
+#include "Entry/admission.h"
+
+namespace mango {
+
+namespace {
+
+// Drops what belonged to the session or process before: its credits are gone with it.
+void startGeneration(entry_state &entry, worker_link &worker)
+{
+    worker.generation = ++entry.generations;
+    worker.inUse = 0;
+    worker.reported = {};
+}
+
+void takeConfig(entry_state &entry, const config_view &config)
+{
+    auto routeTable = parseRoutes(config.routesText);
+    auto poolTable = parsePools(config.poolsText);
+    if (failed(routeTable) || failed(poolTable)) {
+        return;
+    }
+    entry.configVersion = config.version;
+    entry.routeTable = std::move(valueOf(routeTable));
+    entry.poolTable = std::move(valueOf(poolTable));
+    entry.domainsOut = {config.domainsOut.begin(), config.domainsOut.end()};
+    entry.events.record("configuration in force",
+                        {"", "", entry.settings.name, "version " + std::to_string(config.version)});
+}
+
+void takeWorker(entry_state &entry, const worker_view &view)
+{
+    worker_handle &worker = entry.workers[view.name];
+    if (!worker) {
+        worker = std::make_shared<worker_link>();
+        startGeneration(entry, *worker);
+    } else if (worker->view.incarnation != view.incarnation) {
+        startGeneration(entry, *worker);
+        worker->idle.clear();
+        worker->answerMicroseconds = 0;
+        worker->avoidUntil = {};
+    }
+    if (worker->view.address != view.address) {
+        worker->idle.clear();
+    }
+    worker->view = view;
+}
+
+void rebuildPools(entry_state &entry)
+{
+    for (auto &[name, state] : entry.poolStates) {
+        state.workers.clear();
+    }
+    for (const pool &row : entry.poolTable) {
+        pool_state &state = entry.poolStates[row.name];
+        for (const auto &[name, worker] : entry.workers) {
+            if (poolHolds(row, name)) {
+                state.workers.push_back(worker);
+            }
+        }
+    }
+}
+
+credit_holding holdingOf(const worker_link &worker)
+{
+    credit_holding holding;
+    holding.worker = worker.view.name;
+    holding.incarnation = worker.view.incarnation;
+    holding.held = std::max(worker.view.credit, worker.inUse);
+    holding.inUse = worker.inUse;
+    holding.answers = worker.windowAnswers;
+    holding.failures = worker.windowFailures;
+    if (worker.windowAnswers > 0) {
+        holding.answerMicroseconds =
+                static_cast<std::uint32_t>(worker.windowMicroseconds / worker.windowAnswers);
+    }
+    return holding;
+}
+
+} // namespace
+
+bool holdsLease(const entry_state &entry)
+{
+    return entry.session != 0 && entry.clock.now() < entry.leaseEnd;
+}
+
+void takeView(entry_state &entry, const entry_view &view, steady_time sentAt)
+{
+    entry.leaderTerm = view.leaderTerm;
+    if (view.session != entry.session) {
+        entry.session = view.session;
+        for (auto &[name, worker] : entry.workers) {
+            startGeneration(entry, *worker);
+            worker->view.credit = 0;
+        }
+    }
+    if (view.workersComplete) {
+        for (auto &[name, worker] : entry.workers) {
+            worker->view.credit = 0;
+            worker->view.serving = false;
+        }
+    }
+    if (view.config) {
+        takeConfig(entry, *view.config);
+    }
+    for (const worker_view &worker : view.workers) {
+        takeWorker(entry, worker);
+    }
+    entry.workersVersion = view.workersVersion;
+    entry.leaseEnd = sentAt + std::chrono::milliseconds(view.leaseMs);
+    if (view.config || !view.workers.empty()) {
+        rebuildPools(entry);
+    }
+    serveWaiting(entry);
+}
+
+entry_report nextReport(const entry_state &entry, bool complete)
+{
+    entry_report report;
+    report.name = entry.settings.name;
+    report.incarnation = entry.incarnation;
+    report.failureDomain = entry.settings.failureDomain;
+    report.session = entry.session;
+    report.configVersion = entry.configVersion;
+    report.workersVersion = entry.workersVersion;
+    report.complete = complete;
+    for (const auto &[name, announcement] : entry.announcements) {
+        report.announcements.push_back(announcement);
+    }
+    for (const auto &[name, worker] : entry.workers) {
+        const credit_holding holding = holdingOf(*worker);
+        const bool changed = holding.held != worker->reported.held
+                             || holding.incarnation != worker->reported.incarnation
+                             || holding.answers > 0 || holding.failures > 0;
+        if (changed || (complete && holding.held > 0)) {
+            report.holdings.push_back(holding);
+        }
+    }
+    for (const auto &[name, state] : entry.poolStates) {
+        if (state.inUse > 0 || !state.waiting.empty()) {
+            report.demands.push_back(
+                    {name, state.inUse, static_cast<std::uint32_t>(state.waiting.size())});
+        }
+    }
+    return report;
+}
+
+void confirmReport(entry_state &entry, const entry_report &report)
+{
+    for (const worker_announcement &announcement : report.announcements) {
+        const auto found = entry.announcements.find(announcement.name);
+        if (found != entry.announcements.end() && found->second == announcement) {
+            entry.announcements.erase(found);
+        }
+    }
+    for (const credit_holding &holding : report.holdings) {
+        const auto found = entry.workers.find(holding.worker);
+        if (found == entry.workers.end()) {
+            continue;
+        }
+        worker_link &worker = *found->second;
+        worker.reported = holding;
+        worker.windowMicroseconds =
+                std::max(0.0, worker.windowMicroseconds
+                                      - double(holding.answerMicroseconds) * holding.answers);
+        worker.windowAnswers -= std::min(worker.windowAnswers, holding.answers);
+        worker.windowFailures -= std::min(worker.windowFailures, holding.failures);
+    }
+    ++entry.reportsAnswered;
+    entry.reportAnswered.notifyAll();
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Entry/job_api.cxx
@@ -0,0 +1,138 @@
+#include "Entry/job_api.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "Entry/answers.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *jobsPath = "/mango/v1/jobs/";
+constexpr auto jobTimeout = std::chrono::seconds(2);
+constexpr std::size_t maximumPayload = 16U << 10U;
+constexpr std::uint64_t maximumTasks = 10'000;
+
+std::uint64_t countField(const json::object &body, const char *name, std::uint64_t fallback)
+{
+    const json::value *value = body.if_contains(name);
+    boost::system::error_code error;
+    const std::uint64_t read = value == nullptr ? fallback : value->to_number<std::uint64_t>(error);
+    return error ? 0 : read;
+}
+
+// The job a body asks for; the route gives what the body leaves out. Empty when the body is wrong.
+std::optional<job_spec> readSpec(const route &row, const std::string &body)
+{
+    boost::system::error_code error;
+    const json::value parsed =
+            body.empty() ? json::value(json::object()) : json::parse(body, error);
+    if (error || !parsed.is_object()) {
+        return std::nullopt;
+    }
+    const json::object &object = parsed.as_object();
+    job_spec spec;
+    spec.route = row.name;
+    spec.pool = row.pool;
+    spec.team = row.team;
+    spec.priority = row.priority;
+    spec.size = row.size;
+    spec.evictionBudget = row.evictionBudget;
+    const std::uint64_t tasks = countField(object, "tasks", row.taskCount);
+    spec.runTimeMs = countField(object, "run_time_ms", spec.runTimeMs);
+    if (const json::value *cores = object.if_contains("cores"); cores != nullptr) {
+        spec.size.cores = cores->to_number<double>(error);
+    }
+    spec.size.memoryBytes = countField(object, "memory_bytes", spec.size.memoryBytes);
+    if (const json::value *payload = object.if_contains("payload");
+        payload != nullptr && payload->is_string()) {
+        spec.payload = std::string(payload->as_string());
+    }
+    const bool sane = !error && tasks > 0 && tasks <= maximumTasks && spec.runTimeMs > 0
+                      && spec.size.cores > 0 && spec.payload.size() <= maximumPayload;
+    if (!sane) {
+        return std::nullopt;
+    }
+    spec.taskCount = static_cast<std::uint32_t>(tasks);
+    return spec;
+}
+
+http_answer jobAnswer(unsigned status, std::uint64_t job)
+{
+    http_answer answer{status,
+                       {{"Content-Type", "application/json"}, {"Mango-Outcome", "answered"}},
+                       json::serialize(json::object{{"job", job}}) + "\n"};
+    answer.headers.emplace_back("Location", jobsPath + std::to_string(job));
+    return answer;
+}
+
+} // namespace
+
+asio::awaitable<http_answer> submitJob(entry_state &entry, control_link &control, const route row,
+                                       dispatched_request request)
+{
+    const auto spec = readSpec(row, request.request.body);
+    if (!spec) {
+        co_return ownAnswer(400, "not-run", "the body is not a job");
+    }
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+            entry.clock.wallTime().time_since_epoch());
+    // Without a caller's key the request's own id keeps a proposal that is sent again from making
+    // a second job.
+    std::string key = headerValue(request.request.headers, "Idempotency-Key");
+    key = key.empty() ? "request " + request.id : "key " + key;
+    const submit_job_command change{*spec, key, static_cast<std::uint64_t>(wall.count())};
+    const auto agreed = co_await control.propose(change, request.deadline);
+    if (failed(agreed)) {
+        co_return failureOf(agreed) == control_failure::notTaken
+                ? refusedAnswer(entry, refusal_reason::noLease, row.pool)
+                : unknownAnswer(entry, "the job may have been taken");
+    }
+    if (const auto *accepted = std::get_if<change_accepted>(&valueOf(agreed))) {
+        co_return jobAnswer(202, accepted->version);
+    }
+    const auto *refused = std::get_if<change_refused>(&valueOf(agreed));
+    co_return ownAnswer(422, "not-run", refused == nullptr ? "refused" : refused->detail);
+}
+
+asio::awaitable<http_answer> serveJobRequest(entry_state &entry, control_link &control,
+                                             http_request request)
+{
+    const auto job = parseCount(pathOf(request.target).substr(std::string(jobsPath).size()));
+    if (failed(job)) {
+        co_return ownAnswer(404, "not-run", "no such job");
+    }
+    const steady_time deadline = entry.clock.now() + jobTimeout;
+    if (request.method == "DELETE") {
+        const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+                entry.clock.wallTime().time_since_epoch());
+        const cancel_job_command change{valueOf(job), static_cast<std::uint64_t>(wall.count())};
+        const auto agreed = co_await control.propose(change, deadline);
+        if (failed(agreed)) {
+            co_return unknownAnswer(entry, "the cancellation may not have been taken");
+        }
+        co_return std::holds_alternative<change_accepted>(valueOf(agreed))
+                ? jobAnswer(202, valueOf(job))
+                : ownAnswer(404, "not-run", "no such job");
+    }
+    if (request.method != "GET") {
+        co_return ownAnswer(405, "not-run", "use GET or DELETE");
+    }
+    const auto asked = co_await control.askJob(valueOf(job), deadline);
+    if (failed(asked)) {
+        co_return refusedAnswer(entry, refusal_reason::noLease, "");
+    }
+    if (!valueOf(asked)) {
+        co_return ownAnswer(404, "not-run", "no such job");
+    }
+    co_return http_answer{200,
+                          {{"Content-Type", "application/json"}, {"Mango-Outcome", "answered"}},
+                          *valueOf(asked)};
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Entry/job_api.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Entry/control_link.h"
+#include "Entry/dispatch.h"
+
+namespace mango {
+
+// Makes a request of a batch route a job and answers with its id.
+boost::asio::awaitable<http_answer> submitJob(entry_state &entry, control_link &control,
+                                              const route row, dispatched_request request);
+
+// Shows or cancels a job.
+boost::asio::awaitable<http_answer> serveJobRequest(entry_state &entry, control_link &control,
+                                                    http_request request);
+
+} // namespace mango
--- /dev/null
+++ b/Source/Entry/selection.cxx
@@ -0,0 +1,53 @@
+#include "Entry/selection.h"
+
+#include <algorithm>
+
+namespace mango {
+
+namespace {
+
+// Stands for a worker that has not answered yet, so that it is tried early but not flooded.
+constexpr double unknownMicroseconds = 200;
+
+double expectedMicroseconds(const selection_candidate &candidate)
+{
+    const double answer =
+            candidate.answerMicroseconds > 0 ? candidate.answerMicroseconds : unknownMicroseconds;
+    return answer * (1.0 + double(candidate.inUse) / std::max(1U, candidate.limit));
+}
+
+} // namespace
+
+std::optional<std::size_t> selectWorker(const std::vector<selection_candidate> &candidates,
+                                        selection_policy policy, random_source &random)
+{
+    std::vector<std::size_t> usable;
+    std::vector<std::size_t> lastResort;
+    for (std::size_t place = 0; place < candidates.size(); ++place) {
+        if (candidates[place].inUse < candidates[place].limit) {
+            (candidates[place].avoided ? lastResort : usable).push_back(place);
+        }
+    }
+    if (usable.empty()) {
+        usable = std::move(lastResort);
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    if (policy == selection_policy::leastOutstanding) {
+        return *std::min_element(usable.begin(), usable.end(),
+                                 [&](std::size_t one, std::size_t other) {
+                                     return candidates[one].inUse < candidates[other].inUse;
+                                 });
+    }
+    const std::size_t first = usable[random.below(usable.size())];
+    if (policy == selection_policy::random) {
+        return first;
+    }
+    const std::size_t second = usable[random.below(usable.size())];
+    const bool secondIsFaster =
+            expectedMicroseconds(candidates[second]) < expectedMicroseconds(candidates[first]);
+    return secondIsFaster ? second : first;
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Http/http_client.cxx
@@ -0,0 +1,223 @@
+#include "Http/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include "Http/beast_messages.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+using error_code = boost::system::error_code;
+
+// A host that does not take a connection by then is tried no longer, whatever the deadline.
+constexpr auto connectTimeout = std::chrono::milliseconds(500);
+
+class plain_stream
+{
+public:
+    plain_stream(const asio::any_io_executor &executor, const http_client_options & /*options*/)
+        : m_stream(executor)
+    {}
+    beast::tcp_stream &stream()
+    {
+        return m_stream;
+    }
+    beast::tcp_stream &lowest()
+    {
+        return m_stream;
+    }
+    asio::awaitable<error_code> handshake()
+    {
+        co_return error_code{};
+    }
+
+private:
+    beast::tcp_stream m_stream;
+};
+
+class tls_client_stream
+{
+public:
+    tls_client_stream(const asio::any_io_executor &executor, const http_client_options &options)
+        : m_context(asio::ssl::context::tls_client)
+        , m_stream(executor, prepared(m_context, options))
+    {}
+    beast::ssl_stream<beast::tcp_stream> &stream()
+    {
+        return m_stream;
+    }
+    beast::tcp_stream &lowest()
+    {
+        return m_stream.next_layer();
+    }
+    asio::awaitable<error_code> handshake()
+    {
+        error_code error;
+        co_await m_stream.async_handshake(asio::ssl::stream_base::client,
+                                          asio::redirect_error(asio::use_awaitable, error));
+        co_return error;
+    }
+
+private:
+    static asio::ssl::context &prepared(asio::ssl::context &context,
+                                        const http_client_options &options)
+    {
+        error_code ignored;
+        context.load_verify_file(options.authorityFile, ignored);
+        context.set_verify_mode(asio::ssl::verify_peer);
+        return context;
+    }
+
+    asio::ssl::context m_context;
+    beast::ssl_stream<beast::tcp_stream> m_stream;
+};
+
+template<class Stream>
+class beast_client final : public http_client
+{
+public:
+    beast_client(asio::any_io_executor executor, http_client_options options)
+        : m_executor(std::move(executor))
+        , m_options(std::move(options))
+    {}
+
+    asio::awaitable<result<http_answer, http_failure>> exchange(const http_request &request,
+                                                                steady_span timeout) override
+    {
+        const steady_time limit = std::chrono::steady_clock::now() + timeout;
+        const bool reused = isOpen();
+        error_code error;
+        if (!reused) {
+            error = co_await connect(limit);
+            if (error) {
+                close();
+                co_return failureOf(error, false, false);
+            }
+        }
+        m_used = true;
+        m_connection->lowest().expires_at(limit);
+        http::request<http::string_body> message(http::string_to_verb(request.method),
+                                                 request.target, 11);
+        if (message.method() == http::verb::unknown) {
+            message.method_string(request.method);
+        }
+        detail::addHeaders(message, request.headers);
+        message.set(http::field::host, toText(m_options.server));
+        message.body() = request.body;
+        message.prepare_payload();
+        co_await http::async_write(m_connection->stream(), message,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            close();
+            co_return failureOf(error, true, reused);
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(m_options.maximumBodyBytes);
+        if (message.method() == http::verb::head) {
+            parser.skip(true);
+        }
+        co_await http::async_read(m_connection->stream(), m_buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        // An answer that ends where the connection ends may be a part of one.
+        const bool wholeLengthKnown = error || !parser.need_eof();
+        if (error || !wholeLengthKnown) {
+            close();
+            co_return failureOf(error ? error : make_error_code(http::error::partial_message), true,
+                                reused);
+        }
+        auto response = parser.release();
+        http_answer answer;
+        answer.status = response.result_int();
+        answer.headers = detail::plainHeaders(response.base());
+        answer.body = std::move(response.body());
+        if (!response.keep_alive() || m_buffer.size() > 0) {
+            close();
+        }
+        co_return answer;
+    }
+
+    [[nodiscard]] bool isOpen() const override
+    {
+        return m_connection && m_used;
+    }
+
+    void close() override
+    {
+        m_connection.reset();
+        m_buffer.clear();
+        m_used = false;
+    }
+
+private:
+    asio::awaitable<error_code> connect(steady_time limit)
+    {
+        close();
+        error_code error;
+        m_connection = std::make_unique<Stream>(m_executor, m_options);
+        const tcp::endpoint endpoint(asio::ip::make_address(m_options.server.ip, error),
+                                     m_options.server.port);
+        if (error) {
+            co_return error;
+        }
+        m_connection->lowest().expires_at(
+                std::min(limit, std::chrono::steady_clock::now() + connectTimeout));
+        co_await m_connection->lowest().async_connect(
+                endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return error;
+        }
+        m_connection->lowest().expires_at(limit);
+        m_connection->lowest().socket().set_option(tcp::no_delay(true), error);
+        co_return co_await m_connection->handshake();
+    }
+
+    static http_failure failureOf(const error_code &error, bool sent, bool reused)
+    {
+        http_failure failure;
+        failure.sent = sent;
+        failure.reused = reused;
+        failure.detail = error.message();
+        if (error == beast::error::timeout) {
+            failure.reason = http_failure::kind::timedOut;
+        } else if (error == http::error::body_limit || error == http::error::header_limit) {
+            failure.reason = http_failure::kind::tooLarge;
+        } else if (error.category() == make_error_code(http::error::bad_version).category()
+                   && error != http::error::end_of_stream
+                   && error != http::error::partial_message) {
+            failure.reason = http_failure::kind::malformed;
+        } else if (error.category() == asio::error::get_ssl_category()) {
+            failure.reason = http_failure::kind::badCertificate;
+        } else {
+            failure.reason = sent ? http_failure::kind::cutOff : http_failure::kind::connectFailed;
+        }
+        return failure;
+    }
+
+    asio::any_io_executor m_executor;
+    http_client_options m_options;
+    std::unique_ptr<Stream> m_connection;
+    beast::flat_buffer m_buffer;
+    bool m_used = false;
+};
+
+} // namespace
+
+std::unique_ptr<http_client> makeHttpClient(asio::any_io_executor executor,
+                                            const http_client_options &options)
+{
+    if (options.authorityFile.empty()) {
+        return std::make_unique<beast_client<plain_stream>>(std::move(executor), options);
+    }
+    return std::make_unique<beast_client<tls_client_stream>>(std::move(executor), options);
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Http/http_server.cxx
@@ -0,0 +1,328 @@
+#include "Http/http_server.h"
+
+#include <optional>
+#include <set>
+
+#include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/ssl.hpp>
+
+#include "Common/wake_event.h"
+#include "Http/beast_messages.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+using error_code = boost::system::error_code;
+
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+// What the connections of one server share.
+struct server_state
+{
+    server_state(clock_source &clock, counters &counted, http_server_options given)
+        : options(std::move(given))
+        , idle(clock)
+        , requests(counted.at("mango_http_requests_total{server=\"" + options.label + "\"}"))
+        , malformed(counted.at("mango_http_malformed_total{server=\"" + options.label + "\"}"))
+        , connections(counted.at("mango_http_connections{server=\"" + options.label + "\"}"))
+        , refused(counted.at("mango_http_refused_total{server=\"" + options.label + "\"}"))
+    {}
+
+    http_server_options options;
+    http_handler handler;
+    bool draining = false;
+    std::size_t inProgress = 0;
+    // The sockets on which no request is in progress; draining closes them.
+    std::set<beast::tcp_stream *> quiet;
+    wake_event idle;
+    std::uint64_t &requests;
+    std::uint64_t &malformed;
+    std::uint64_t &connections;
+    std::uint64_t &refused;
+};
+
+unsigned statusOf(const error_code &error)
+{
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    return error == http::error::header_limit ? 431 : 400;
+}
+
+bool isProtocolError(const error_code &error)
+{
+    return error.category() == make_error_code(http::error::bad_version).category()
+           && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+http::response<http::string_body> toMessage(const http_answer &answer, unsigned version,
+                                            bool keepAlive)
+{
+    http::response<http::string_body> message;
+    message.version(version);
+    message.result(answer.status);
+    detail::addHeaders(message, answer.headers);
+    message.keep_alive(keepAlive);
+    message.body() = answer.body;
+    message.prepare_payload();
+    return message;
+}
+
+http_request toRequest(http::request<http::string_body> message, const host_address &peer)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = detail::plainHeaders(message.base());
+    request.body = std::move(message.body());
+    request.peer = peer;
+    return request;
+}
+
+template<class Stream>
+asio::awaitable<bool> writeAnswer(server_state &state, Stream &stream, const http_answer &answer,
+                                  unsigned version, bool keepAlive)
+{
+    error_code error;
+    auto message = toMessage(answer, version, keepAlive);
+    beast::get_lowest_layer(stream).expires_after(state.options.writeTimeout);
+    if (answer.cutAfter) {
+        http::response_serializer<http::string_body> serializer(message);
+        co_await http::async_write_header(stream, serializer,
+                                          asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(stream, asio::buffer(answer.body.data(), *answer.cutAfter),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        co_return false;
+    }
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error && keepAlive;
+}
+
+// Reads one request; an empty optional ends the connection.
+template<class Stream>
+asio::awaitable<std::optional<http::request<http::string_body>>>
+readRequest(server_state &state, Stream &stream, beast::flat_buffer &buffer)
+{
+    error_code error;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(state.options.maximumHeaderBytes);
+    parser.body_limit(state.options.maximumBodyBytes);
+    beast::tcp_stream &lowest = beast::get_lowest_layer(stream);
+    if (buffer.size() == 0) {
+        // Waits for the first byte under the idle time, so that a slow header has its own.
+        state.quiet.insert(&lowest);
+        lowest.expires_after(state.options.idleTimeout);
+        const std::size_t count = co_await stream.async_read_some(
+                buffer.prepare(8192), asio::redirect_error(asio::use_awaitable, error));
+        buffer.commit(count);
+        state.quiet.erase(&lowest);
+        if (error) {
+            co_return std::nullopt;
+        }
+    }
+    lowest.expires_after(state.options.headerTimeout);
+    co_await http::async_read_header(stream, buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        lowest.expires_after(state.options.writeTimeout);
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error) {
+        co_return parser.release();
+    }
+    if (isProtocolError(error)) {
+        ++state.malformed;
+        const http_answer answer{statusOf(error), {{"Mango-Outcome", "not-run"}}, ""};
+        co_await writeAnswer(state, stream, answer, 11, false);
+    }
+    co_return std::nullopt;
+}
+
+template<class Stream>
+asio::awaitable<void> serveConnection(std::shared_ptr<server_state> state, Stream stream)
+{
+    error_code error;
+    const auto endpoint = beast::get_lowest_layer(stream).socket().remote_endpoint(error);
+    const host_address peer{endpoint.address().to_string(), endpoint.port()};
+    beast::get_lowest_layer(stream).socket().set_option(tcp::no_delay(true), error);
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+        auto message = co_await readRequest(*state, stream, buffer);
+        if (!message) {
+            break;
+        }
+        ++state->requests;
+        ++state->inProgress;
+        const unsigned version = message->version();
+        const bool keepAlive = message->keep_alive();
+        const bool headOnly = message->method() == http::verb::head;
+        http_answer answer = co_await state->handler(toRequest(std::move(*message), peer));
+        if (headOnly) {
+            answer.body.clear();
+        }
+        open = co_await writeAnswer(*state, stream, answer, version, keepAlive && !state->draining);
+        --state->inProgress;
+        if (state->draining) {
+            state->idle.notifyAll();
+        }
+    }
+    --state->connections;
+    beast::get_lowest_layer(stream).socket().shutdown(tcp::socket::shutdown_send, error);
+}
+
+asio::awaitable<void> serveTls(std::shared_ptr<server_state> state, beast::tcp_stream stream,
+                               std::shared_ptr<asio::ssl::context> context)
+{
+    error_code error;
+    beast::ssl_stream<beast::tcp_stream> secured(std::move(stream), *context);
+    beast::get_lowest_layer(secured).expires_after(state->options.headerTimeout);
+    co_await secured.async_handshake(asio::ssl::stream_base::server,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        --state->connections;
+        ++state->refused;
+        co_return;
+    }
+    co_await serveConnection(state, std::move(secured));
+}
+
+class beast_server final : public http_server
+{
+public:
+    beast_server(asio::any_io_executor executor, clock_source &clock, counters &counted,
+                 http_server_options options, http_handler handler)
+        : m_executor(std::move(executor))
+        , m_clock(clock)
+        , m_state(std::make_shared<server_state>(clock, counted, std::move(options)))
+        , m_acceptor(m_executor)
+    {
+        m_state->handler = std::move(handler);
+    }
+
+    result<done, settings_failure> start() override
+    {
+        const http_server_options &options = m_state->options;
+        error_code error;
+        if (!options.certificateFile.empty()) {
+            m_tls = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+            m_tls->use_certificate_chain_file(options.certificateFile, error);
+            if (!error) {
+                m_tls->use_private_key_file(options.keyFile, asio::ssl::context::pem, error);
+            }
+            if (error) {
+                return settings_failure{settings_failure::kind::badValue, "",
+                                        "[" + options.label + "] certificate", error.message()};
+            }
+        }
+        const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip, error),
+                                     options.listen.port);
+        m_acceptor.open(endpoint.protocol(), error);
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        m_acceptor.bind(endpoint, error);
+        if (error) {
+            return settings_failure{settings_failure::kind::badValue, "",
+                                    "[" + options.label + "] listen",
+                                    toText(options.listen) + ": " + error.message()};
+        }
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        asio::co_spawn(m_executor, acceptAll(), asio::detached);
+        return done{};
+    }
+
+    asio::awaitable<bool> drain(steady_span limit) override
+    {
+        error_code ignored;
+        m_state->draining = true;
+        m_acceptor.close(ignored);
+        for (beast::tcp_stream *stream : m_state->quiet) {
+            stream->socket().shutdown(tcp::socket::shutdown_receive, ignored);
+        }
+        const steady_time end = m_clock.now() + limit;
+        while (m_state->inProgress > 0 && m_clock.now() < end) {
+            co_await m_state->idle.waitFor(end - m_clock.now());
+        }
+        co_return m_state->inProgress == 0;
+    }
+
+    [[nodiscard]] std::size_t requestsInProgress() const override
+    {
+        return m_state->inProgress;
+    }
+
+private:
+    asio::awaitable<void> acceptAll()
+    {
+        while (m_acceptor.is_open()) {
+            error_code error;
+            tcp::socket socket = co_await m_acceptor.async_accept(
+                    asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                if (m_acceptor.is_open()) {
+                    co_await m_clock.sleepFor(acceptRetryDelay);
+                }
+                continue;
+            }
+            if (m_state->connections >= m_state->options.maximumConnections) {
+                ++m_state->refused;
+                continue;
+            }
+            ++m_state->connections;
+            beast::tcp_stream stream(std::move(socket));
+            if (m_tls) {
+                asio::co_spawn(m_executor, serveTls(m_state, std::move(stream), m_tls),
+                               asio::detached);
+            } else {
+                asio::co_spawn(m_executor, serveConnection(m_state, std::move(stream)),
+                               asio::detached);
+            }
+        }
+    }
+
+    asio::any_io_executor m_executor;
+    clock_source &m_clock;
+    std::shared_ptr<server_state> m_state;
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<asio::ssl::context> m_tls;
+};
+
+} // namespace
+
+http_server_options readServerOptions(settings_reader &reader, const std::string &label)
+{
+    http_server_options options;
+    options.label = label;
+    options.listen = reader.requiredAddress("listen");
+    options.maximumHeaderBytes =
+            static_cast<std::uint32_t>(reader.bytes("maximum_header", options.maximumHeaderBytes));
+    options.maximumBodyBytes = reader.bytes("maximum_body", options.maximumBodyBytes);
+    options.headerTimeout = reader.duration("header_timeout", options.headerTimeout);
+    options.idleTimeout = reader.duration("idle_timeout", options.idleTimeout);
+    options.writeTimeout = reader.duration("write_timeout", options.writeTimeout);
+    options.maximumConnections = reader.count("maximum_connections", options.maximumConnections);
+    options.certificateFile = reader.text("certificate", "");
+    options.keyFile = reader.text("key", "");
+    if (options.certificateFile.empty() != options.keyFile.empty()) {
+        reader.reject("certificate", "certificate and key go together");
+    }
+    return options;
+}
+
+std::unique_ptr<http_server> makeHttpServer(asio::any_io_executor executor, clock_source &clock,
+                                            counters &counted, http_server_options options,
+                                            http_handler handler)
+{
+    return std::make_unique<beast_server>(std::move(executor), clock, counted, std::move(options),
+                                          std::move(handler));
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Programs/Entry/main.cxx
@@ -0,0 +1,128 @@
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/asio.hpp>
+#include <boost/program_options.hpp>
+
+#include "Common/log.h"
+#include "Entry/caller_api.h"
+#include "Storage/data_folder.h"
+
+namespace {
+
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+
+constexpr int exitSettings = 2;
+
+// The parts of one entry process.
+struct entry_process
+{
+    mango::entry_state &entry;
+    mango::control_link &control;
+    mango::http_server &callers;
+    mango::http_server &workers;
+};
+
+// Drains on the first SIGTERM or SIGINT, ends at once on the second.
+asio::awaitable<void> awaitStop(entry_process process, asio::io_context &context)
+{
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asio::use_awaitable);
+    mango::logInfo(mango::log_part::entry, "Drains.");
+    signals.async_wait([&context](auto /*error*/, int /*signal*/) {
+        context.stop();
+    });
+    process.entry.draining = true;
+    process.entry.events.record("entry drains", {"", "", process.entry.settings.name, ""});
+    co_await process.entry.clock.sleepFor(process.entry.settings.balancerTime);
+    const bool whole = co_await process.callers.drain(process.entry.settings.drainTime);
+    mango::logInfo(mango::log_part::entry,
+                   whole ? "Every request was answered." : "The drain time ran out.");
+    co_await process.control.sayGoodbye();
+    co_await process.workers.drain(std::chrono::seconds(1));
+    process.entry.events.record("entry stopped", {"", "", process.entry.settings.name, ""});
+    context.stop();
+}
+
+int serve(const mango::entry_settings &settings)
+{
+    const auto lock = mango::lockDataFolder(settings.dataFolder);
+    if (mango::failed(lock)) {
+        std::cerr << "mango_entry: [entry] data: " << mango::describe(mango::failureOf(lock))
+                  << "\n";
+        return exitSettings;
+    }
+    asio::io_context context(1);
+    const auto executor = context.get_executor();
+    mango::system_clock_source clock(executor);
+    mango::seeded_random random;
+    mango::counters counted;
+    mango::causal_clock stamps(clock);
+    mango::timeline events(settings.name, settings.dataFolder + "/timeline.jsonl", stamps);
+    const auto links =
+            mango::makeTcpNetwork(executor, clock, counted, {settings.cluster, settings.security});
+    mango::entry_state entry(executor, clock, random, events, counted, settings);
+    entry.incarnation = settings.name + "-" + mango::randomIdentifier(random);
+    mango::control_link control(entry, *links);
+    const auto callers = mango::makeHttpServer(
+            executor, clock, counted, settings.callers, [&](mango::http_request request) {
+                return mango::serveCaller(entry, control, std::move(request));
+            });
+    const auto workers = mango::makeHttpServer(
+            executor, clock, counted, settings.workers, [&](mango::http_request request) {
+                return mango::serveWorkerSide(entry, std::move(request));
+            });
+    for (mango::http_server *server : {callers.get(), workers.get()}) {
+        const auto started = server->start();
+        if (mango::failed(started)) {
+            std::cerr << "mango_entry: " << mango::describe(mango::failureOf(started)) << "\n";
+            return exitSettings;
+        }
+    }
+    asio::co_spawn(context, control.runReports(), asio::detached);
+    asio::co_spawn(context, awaitStop({entry, control, *callers, *workers}, context),
+                   asio::detached);
+    mango::logInfo(mango::log_part::entry, "Started.");
+    context.run();
+    // Coroutines that still wait refer to each other's objects; the process ends with all of them.
+    std::cout.flush();
+    std::quick_exit(0);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description described("mango_entry: takes requests from callers\n"
+                                           "Example: mango_entry --settings entry.ini\n");
+    described.add_options()("help", "show this text")(
+            "settings", options::value<std::string>()->default_value("entry.ini"),
+            "the settings file")("check-settings", "check the settings file and exit");
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, described), given);
+        options::notify(given);
+    } catch (const options::error &error) {
+        std::cerr << "mango_entry: " << error.what() << "\n";
+        return exitSettings;
+    }
+    if (given.count("help") > 0) {
+        std::cout << described;
+        return 0;
+    }
+    const auto settings = mango::loadEntrySettings(given["settings"].as<std::string>());
+    if (mango::failed(settings) || !mango::startLogging(mango::valueOf(settings).logLevel)) {
+        std::cerr << "mango_entry: "
+                  << (mango::failed(settings) ? mango::describe(mango::failureOf(settings))
+                                              : "[entry] log_level: not a level")
+                  << "\n";
+        return exitSettings;
+    }
+    if (given.count("check-settings") > 0) {
+        std::cout << "The settings are valid.\n";
+        return 0;
+    }
+    return serve(mango::valueOf(settings));
+}
--- /dev/null
+++ b/Source/State/cluster_state.cxx
@@ -0,0 +1,431 @@
+#include "State/cluster_state.h"
+
+#include <algorithm>
+
+#include "Wire/codec.h"
+
+namespace mango {
+
+namespace {
+
+constexpr std::size_t rememberedChangeLimit = 5000;
+constexpr std::size_t rememberedClaimLimit = 100'000;
+constexpr std::uint32_t taskFailureLimit = 5;
+
+std::string jobKey(const std::string &team, const std::string &key)
+{
+    return team + "\n" + key;
+}
+
+const remembered_change *findChange(const cluster_state &state, const std::string &changeId)
+{
+    const auto found = std::find_if(state.changes.rbegin(), state.changes.rend(),
+                                    [&](const remembered_change &made) {
+                                        return made.changeId == changeId;
+                                    });
+    return found == state.changes.rend() ? nullptr : &*found;
+}
+
+// Runs an operator's change once: a change id seen before gets its first verdict again, and a
+// change id that now stands for another change is refused.
+template<class Change>
+verdict applyOnce(cluster_state &state, const std::string &changeId, const std::string &fingerprint,
+                  Change change)
+{
+    const remembered_change *made = changeId.empty() ? nullptr : findChange(state, changeId);
+    if (made != nullptr && made->fingerprint != fingerprint) {
+        return change_refused{refusal::keyReused, state.configVersion,
+                              "the change id was used for another change"};
+    }
+    if (made != nullptr) {
+        return made->outcome;
+    }
+    const verdict outcome = change();
+    if (!changeId.empty()) {
+        state.changes.push_back({changeId, fingerprint, outcome});
+        if (state.changes.size() > rememberedChangeLimit) {
+            state.changes.pop_front();
+        }
+    }
+    return outcome;
+}
+
+result<done, settings_failure> parseInto(cluster_state &state, table_kind table,
+                                         const std::string &text)
+{
+    if (table == table_kind::routes) {
+        auto parsed = parseRoutes(text);
+        if (failed(parsed)) {
+            return failureOf(parsed);
+        }
+        state.parsedRoutes = std::move(valueOf(parsed));
+        return done{};
+    }
+    auto parsed = parsePools(text);
+    if (failed(parsed)) {
+        return failureOf(parsed);
+    }
+    state.parsedPools = std::move(valueOf(parsed));
+    return done{};
+}
+
+verdict applyChange(cluster_state &state, const put_table_command &change)
+{
+    const std::string fingerprint = std::to_string(static_cast<int>(change.table)) + "\n"
+                                    + std::to_string(change.expectedVersion) + "\n" + change.text;
+    return applyOnce(state, change.changeId, fingerprint, [&]() -> verdict {
+        table_record &record = state.tables[change.table];
+        if (record.version != change.expectedVersion) {
+            return change_refused{refusal::versionConflict, record.version, ""};
+        }
+        const auto parsed = parseInto(state, change.table, change.text);
+        if (failed(parsed)) {
+            return change_refused{refusal::invalidTable, record.version,
+                                  describe(failureOf(parsed))};
+        }
+        ++state.configVersion;
+        ++record.version;
+        record.text = change.text;
+        return change_accepted{record.version};
+    });
+}
+
+verdict applyChange(cluster_state &state, const set_domain_command &change)
+{
+    const std::string fingerprint = change.domain + (change.inService ? " in " : " out ")
+                                    + std::to_string(change.expectedVersion);
+    return applyOnce(state, change.changeId, fingerprint, [&]() -> verdict {
+        const auto found = state.domains.find(change.domain);
+        const std::uint64_t version = found == state.domains.end() ? 0 : found->second.version;
+        if (version != change.expectedVersion) {
+            return change_refused{refusal::versionConflict, version, ""};
+        }
+        ++state.configVersion;
+        state.domains[change.domain] = {version + 1, change.inService};
+        return change_accepted{version + 1};
+    });
+}
+
+verdict applyChange(cluster_state &state, const submit_job_command &change)
+{
+    const std::string key = jobKey(change.spec.team, change.key);
+    if (!change.key.empty()) {
+        const auto known = state.jobsByKey.find(key);
+        if (known != state.jobsByKey.end()) {
+            return change_accepted{known->second};
+        }
+    }
+    if (change.spec.taskCount == 0) {
+        return change_refused{refusal::invalidJob, 0, "a job needs a task"};
+    }
+    const std::uint64_t job = state.nextJob++;
+    job_record record;
+    record.spec = change.spec;
+    record.key = change.key;
+    record.submittedMs = change.wallMs;
+    state.jobs.emplace(job, std::move(record));
+    for (std::uint32_t number = 0; number < change.spec.taskCount; ++number) {
+        state.tasks.emplace(task_id{job, number}, task_record{});
+        state.openTasks.insert({job, number});
+    }
+    if (!change.key.empty()) {
+        state.jobsByKey[key] = job;
+    }
+    return change_accepted{job};
+}
+
+// Ends a task for good and counts it in its job.
+void endTask(cluster_state &state, const task_id &id, task_phase phase, std::uint64_t wallMs)
+{
+    task_record &task = state.tasks[id];
+    task.phase = phase;
+    state.openTasks.erase(id);
+    job_record &job = state.jobs[id.job];
+    job.finishedTasks += phase == task_phase::finished ? 1 : 0;
+    job.failedTasks += phase == task_phase::failed ? 1 : 0;
+    job.cancelledTasks += phase == task_phase::cancelled ? 1 : 0;
+    if (job.finishedTasks + job.failedTasks + job.cancelledTasks == job.spec.taskCount) {
+        job.endedMs = wallMs;
+    }
+}
+
+verdict applyChange(cluster_state &state, const cancel_job_command &change)
+{
+    const auto found = state.jobs.find(change.job);
+    if (found == state.jobs.end()) {
+        return change_refused{refusal::unknownJob, 0, ""};
+    }
+    found->second.cancelled = true;
+    // A placed task ends when its worker has reported that it stopped.
+    for (std::uint32_t number = 0; number < found->second.spec.taskCount; ++number) {
+        const task_id id{change.job, number};
+        if (state.tasks[id].phase == task_phase::pending) {
+            endTask(state, id, task_phase::cancelled, change.wallMs);
+        }
+    }
+    return change_accepted{change.job};
+}
+
+verdict applyChange(cluster_state &state, const place_tasks_command &change)
+{
+    std::uint64_t placed = 0;
+    for (const task_placement &placement : change.placements) {
+        const auto found = state.tasks.find(placement.task);
+        if (found == state.tasks.end() || found->second.phase != task_phase::pending
+            || placement.epoch != found->second.epoch + 1) {
+            continue;
+        }
+        found->second.phase = task_phase::placed;
+        found->second.epoch = placement.epoch;
+        found->second.worker = placement.worker;
+        found->second.workerIncarnation = placement.workerIncarnation;
+        ++placed;
+    }
+    return change_accepted{placed};
+}
+
+void takeCheckpoint(task_record &task, const task_report &report)
+{
+    if (report.checkpoint.empty() || report.checkpoint == task.checkpoint) {
+        return;
+    }
+    task.olderCheckpoint = task.checkpoint;
+    task.checkpoint = report.checkpoint;
+    task.progressMs = report.progressMs;
+}
+
+// Puts a task whose run has ended back in the queue, or ends it when its job was cancelled.
+void requeueTask(cluster_state &state, const task_id &id, std::uint64_t wallMs)
+{
+    task_record &task = state.tasks[id];
+    task.phase = task_phase::pending;
+    task.worker.clear();
+    task.workerIncarnation.clear();
+    if (state.jobs[id.job].cancelled) {
+        endTask(state, id, task_phase::cancelled, wallMs);
+    }
+}
+
+void applyReport(cluster_state &state, const task_report &report, std::uint64_t wallMs)
+{
+    const auto found = state.tasks.find(report.task);
+    if (found == state.tasks.end() || found->second.phase != task_phase::placed
+        || found->second.epoch != report.epoch) {
+        return;
+    }
+    task_record &task = found->second;
+    switch (report.change) {
+    case task_change::checkpointed:
+        takeCheckpoint(task, report);
+        break;
+    case task_change::evicted:
+        takeCheckpoint(task, report);
+        ++task.evictions;
+        task.lostMs += report.lostMs;
+        requeueTask(state, report.task, wallMs);
+        break;
+    case task_change::lost:
+        task.lostMs += report.lostMs;
+        requeueTask(state, report.task, wallMs);
+        break;
+    case task_change::neverStarted:
+        requeueTask(state, report.task, wallMs);
+        break;
+    case task_change::finished:
+        task.outcome = report.outcome;
+        task.progressMs = report.progressMs;
+        endTask(state, report.task, task_phase::finished, wallMs);
+        break;
+    case task_change::failed:
+        ++task.failures;
+        task.outcome = report.outcome;
+        if (report.outcome == "checkpoint missing") {
+            task.checkpoint = task.olderCheckpoint;
+            task.olderCheckpoint.clear();
+        }
+        if (task.failures >= taskFailureLimit) {
+            endTask(state, report.task, task_phase::failed, wallMs);
+        } else {
+            requeueTask(state, report.task, wallMs);
+        }
+        break;
+    }
+}
+
+verdict applyChange(cluster_state &state, const report_tasks_command &change)
+{
+    for (const task_report &report : change.reports) {
+        applyReport(state, report, change.wallMs);
+    }
+    return change_accepted{change.reports.size()};
+}
+
+verdict applyChange(cluster_state &state, const claim_command &change)
+{
+    const auto found = state.claims.find(change.key);
+    if (found == state.claims.end()) {
+        state.claims[change.key] = {change.fingerprint,
+                                    change.attempt,
+                                    change.worker,
+                                    change.workerIncarnation,
+                                    change.wallMs,
+                                    false,
+                                    {}};
+        state.claimsByAge.emplace_back(change.wallMs, change.key);
+        return change_accepted{1};
+    }
+    claim_record &claim = found->second;
+    if (claim.fingerprint != change.fingerprint) {
+        return change_refused{refusal::keyReused, 0, "the key was used for another request"};
+    }
+    if (claim.completed) {
+        return answered_before{claim.answer};
+    }
+    if (claim.attempt == change.attempt) {
+        claim.worker = change.worker;
+        claim.workerIncarnation = change.workerIncarnation;
+        return change_accepted{1};
+    }
+    return claim_held{claim.attempt, claim.worker, claim.workerIncarnation};
+}
+
+verdict applyChange(cluster_state &state, const complete_claim_command &change)
+{
+    const auto found = state.claims.find(change.key);
+    if (found == state.claims.end() || found->second.attempt != change.attempt) {
+        return change_refused{refusal::noLongerClaimed, 0, ""};
+    }
+    found->second.completed = true;
+    found->second.answer = change.answer;
+    return change_accepted{1};
+}
+
+verdict applyChange(cluster_state &state, const release_claim_command &change)
+{
+    const auto found = state.claims.find(change.key);
+    if (found == state.claims.end() || found->second.attempt != change.attempt
+        || found->second.completed) {
+        return change_refused{refusal::noLongerClaimed, 0, ""};
+    }
+    state.claims.erase(found);
+    return change_accepted{1};
+}
+
+void dropOldestClaim(cluster_state &state)
+{
+    const auto [claimedMs, key] = state.claimsByAge.front();
+    state.claimsByAge.pop_front();
+    const auto found = state.claims.find(key);
+    // A key that was released and claimed again has a younger entry of its own.
+    if (found != state.claims.end() && found->second.claimedMs == claimedMs) {
+        state.claims.erase(found);
+    }
+}
+
+void dropJob(cluster_state &state, std::map<std::uint64_t, job_record>::iterator job)
+{
+    for (std::uint32_t number = 0; number < job->second.spec.taskCount; ++number) {
+        state.tasks.erase({job->first, number});
+    }
+    state.jobsByKey.erase(jobKey(job->second.spec.team, job->second.key));
+    state.jobs.erase(job);
+}
+
+verdict applyChange(cluster_state &state, const expire_command &change)
+{
+    while (!state.claimsByAge.empty()
+           && (state.claimsByAge.front().first + change.claimRetentionMs < change.wallMs
+               || state.claims.size() > rememberedClaimLimit)) {
+        dropOldestClaim(state);
+    }
+    for (auto job = state.jobs.begin(); job != state.jobs.end();) {
+        const auto current = job++;
+        const std::uint64_t ended = current->second.endedMs;
+        if (ended != 0 && ended + change.jobRetentionMs < change.wallMs) {
+            dropJob(state, current);
+        }
+    }
+    return change_accepted{0};
+}
+
+} // namespace
+
+std::string toText(const task_id &id)
+{
+    return std::to_string(id.job) + "/" + std::to_string(id.number);
+}
+
+task_id parseTaskId(const std::string &text)
+{
+    const auto slash = text.find('/');
+    if (slash == std::string::npos) {
+        return {};
+    }
+    const auto job = parseCount(text.substr(0, slash));
+    const auto number = parseCount(text.substr(slash + 1));
+    if (failed(job) || failed(number)) {
+        return {};
+    }
+    return {valueOf(job), static_cast<std::uint32_t>(valueOf(number))};
+}
+
+verdict apply(cluster_state &state, const command &change)
+{
+    return std::visit(
+            [&](const auto &typed) {
+                return applyChange(state, typed);
+            },
+            change);
+}
+
+void rebuildIndexes(cluster_state &state)
+{
+    state.parsedRoutes.clear();
+    state.parsedPools.clear();
+    for (const auto &[kind, record] : state.tables) {
+        parseInto(state, kind, record.text);
+    }
+    state.jobsByKey.clear();
+    for (const auto &[id, job] : state.jobs) {
+        if (!job.key.empty()) {
+            state.jobsByKey[jobKey(job.spec.team, job.key)] = id;
+        }
+    }
+    state.claimsByAge.clear();
+    for (const auto &[key, claim] : state.claims) {
+        state.claimsByAge.emplace_back(claim.claimedMs, key);
+    }
+    std::sort(state.claimsByAge.begin(), state.claimsByAge.end());
+    state.openTasks.clear();
+    for (const auto &[id, task] : state.tasks) {
+        if (task.phase == task_phase::pending || task.phase == task_phase::placed) {
+            state.openTasks.insert(id);
+        }
+    }
+}
+
+std::string encodeState(const cluster_state &state)
+{
+    return encode(state);
+}
+
+bool decodeState(const std::string &bytes, cluster_state &state)
+{
+    if (!decode(bytes, state)) {
+        return false;
+    }
+    rebuildIndexes(state);
+    return true;
+}
+
+std::string encodeCommand(const command &change)
+{
+    return encode(change);
+}
+
+bool decodeCommand(const std::string &bytes, command &change)
+{
+    return decode(bytes, change);
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Wire/codec.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstring>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace mango {
+
+namespace detail {
+
+// Reads what cereal's portable binary archive wrote, from memory. It differs from cereal's own
+// reader in one point: a length larger than the bytes that are left is refused before anything
+// is allocated for it.
+class bounded_input_archive
+    : public cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit bounded_input_archive(std::string_view bytes)
+        : InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision>(this)
+        , m_rest(bytes)
+    {
+        std::uint8_t littleEndian = 0;
+        loadBytes(&littleEndian, sizeof littleEndian);
+        if (littleEndian != 1) {
+            throw cereal::Exception("the bytes are not little-endian");
+        }
+    }
+
+    void loadBytes(void *target, std::size_t size)
+    {
+        if (size > m_rest.size()) {
+            throw cereal::Exception("the bytes end early");
+        }
+        std::memcpy(target, m_rest.data(), size);
+        m_rest.remove_prefix(size);
+    }
+
+    [[nodiscard]] std::size_t bytesLeft() const
+    {
+        return m_rest.size();
+    }
+
+private:
+    std::string_view m_rest;
+};
+
+template<class Number>
+requires std::is_arithmetic_v<Number>
+void CEREAL_LOAD_FUNCTION_NAME(bounded_input_archive &archive, Number &number)
+{
+    archive.loadBytes(std::addressof(number), sizeof number);
+}
+
+template<class Item>
+void CEREAL_LOAD_FUNCTION_NAME(bounded_input_archive &archive, cereal::BinaryData<Item> &data)
+{
+    archive.loadBytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+template<class Item>
+void CEREAL_SERIALIZE_FUNCTION_NAME(bounded_input_archive &archive,
+                                    cereal::NameValuePair<Item> &pair)
+{
+    archive(pair.value);
+}
+
+template<class Item>
+void CEREAL_SERIALIZE_FUNCTION_NAME(bounded_input_archive &archive, cereal::SizeTag<Item> &tag)
+{
+    archive(tag.size);
+    if (tag.size > archive.bytesLeft()) {
+        throw cereal::Exception("a length is larger than the bytes that are left");
+    }
+}
+
+} // namespace detail
+
+// A value as portable bytes of cereal.
+template<class Value>
+std::string encode(const Value &value)
+{
+    std::ostringstream output;
+    {
+        cereal::PortableBinaryOutputArchive archive(
+                output, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+        archive(value);
+    }
+    return std::move(output).str();
+}
+
+// Reads a value back; false when the bytes are cut short, have a rest or are no such value.
+template<class Value>
+bool decode(std::string_view bytes, Value &value)
+{
+    try {
+        detail::bounded_input_archive archive(bytes);
+        archive(value);
+        return archive.bytesLeft() == 0;
+    } catch (const std::exception &) {
+        return false;
+    }
+}
+
+} // namespace mango
+
+namespace cereal::traits::detail {
+
+// Tells cereal which writer the reader belongs to.
+template<>
+struct get_output_from_input<mango::detail::bounded_input_archive>
+{
+    using type = cereal::PortableBinaryOutputArchive;
+};
+
+} // namespace cereal::traits::detail
--- /dev/null
+++ b/Source/Wire/frame_codec.cxx
@@ -0,0 +1,74 @@
+#include "Wire/frame_codec.h"
+
+#include <boost/crc.hpp>
+
+#include "Wire/codec.h"
+
+namespace mango {
+
+namespace {
+
+// The first bytes of every header, so that a stranger's bytes are told from a version of ours.
+constexpr std::uint32_t frameMagic = 0x4f474e4d;
+
+network_failure refuse(network_failure::kind reason, const std::string &detail)
+{
+    return {reason, {}, detail};
+}
+
+} // namespace
+
+std::uint32_t checksumOf(std::string_view bytes)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+std::uint32_t clusterNumber(const std::string &clusterName)
+{
+    return checksumOf(clusterName);
+}
+
+std::string encodeFrame(const frame &message, std::uint32_t cluster)
+{
+    frame_header header;
+    header.answer = message.answer ? 1 : 0;
+    header.cluster = cluster;
+    header.payloadBytes = static_cast<std::uint32_t>(message.payload.size());
+    header.checksum = checksumOf(message.payload);
+    header.correlation = message.correlation;
+    header.stamp = message.stamp;
+    return encode(std::pair(frameMagic, header)) + message.payload;
+}
+
+result<frame_header, network_failure> decodeHeader(std::string_view bytes, std::uint32_t cluster)
+{
+    std::pair<std::uint32_t, frame_header> read;
+    if (!decode(bytes, read) || read.first != frameMagic) {
+        return refuse(network_failure::kind::badFrame, "no frame header");
+    }
+    const frame_header &header = read.second;
+    if (header.version != wireVersion) {
+        return refuse(network_failure::kind::otherVersion,
+                      "version " + std::to_string(header.version));
+    }
+    if (header.cluster != cluster) {
+        return refuse(network_failure::kind::otherCluster, "another cluster name");
+    }
+    if (header.payloadBytes > maximumFramePayload) {
+        return refuse(network_failure::kind::tooLarge,
+                      std::to_string(header.payloadBytes) + " bytes");
+    }
+    return header;
+}
+
+result<frame, network_failure> joinFrame(const frame_header &header, std::string payload)
+{
+    if (checksumOf(payload) != header.checksum) {
+        return refuse(network_failure::kind::badFrame, "wrong checksum");
+    }
+    return frame{header.correlation, header.stamp, header.answer != 0, std::move(payload)};
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Wire/tcp_network.cxx
@@ -0,0 +1,337 @@
+#include "Wire/tcp_network.h"
+
+#include <deque>
+
+#include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
+
+#include "Common/log.h"
+#include "Wire/frame_codec.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+std::string describe(const network_failure &failure)
+{
+    static constexpr const char *names[] = {
+            "connect failed", "timed out",     "closed",    "address in use",  "bad frame",
+            "other version",  "other cluster", "too large", "bad certificate", "unexpected answer"};
+    std::string line = names[static_cast<int>(failure.reason)];
+    if (failure.peer.port != 0) {
+        line += " at " + toText(failure.peer);
+    }
+    return failure.detail.empty() ? line : line + ": " + failure.detail;
+}
+
+namespace {
+
+using error_code = boost::system::error_code;
+using tls_stream = asio::ssl::stream<tcp::socket>;
+
+constexpr std::size_t maximumQueuedBytes = 128ULL << 20U;
+constexpr auto handshakeTimeout = std::chrono::seconds(3);
+
+// Bytes and frames of all connections of a process.
+struct link_counters
+{
+    std::uint64_t &bytesOut;
+    std::uint64_t &bytesIn;
+    std::uint64_t &framesOut;
+    std::uint64_t &framesIn;
+    std::uint64_t &framesRefused;
+};
+
+tcp::socket &socketOf(tcp::socket &stream)
+{
+    return stream;
+}
+
+tcp::socket &socketOf(tls_stream &stream)
+{
+    return stream.next_layer();
+}
+
+host_address addressOf(const tcp::endpoint &endpoint)
+{
+    return {endpoint.address().to_string(), endpoint.port()};
+}
+
+template<class Stream>
+class tcp_connection final : public frame_connection,
+                             public std::enable_shared_from_this<tcp_connection<Stream>>
+{
+public:
+    tcp_connection(Stream stream, std::uint32_t cluster, link_counters counted)
+        : m_stream(std::move(stream))
+        , m_cluster(cluster)
+        , m_counted(counted)
+    {
+        error_code error;
+        m_peer = addressOf(socketOf(m_stream).remote_endpoint(error));
+        socketOf(m_stream).set_option(tcp::no_delay(true), error);
+    }
+
+    asio::awaitable<result<frame, network_failure>> receive() override
+    {
+        error_code error;
+        std::array<char, frameHeaderBytes> head{};
+        co_await asio::async_read(m_stream, asio::buffer(head),
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return network_failure{network_failure::kind::closed, m_peer, error.message()};
+        }
+        auto header = decodeHeader({head.data(), head.size()}, m_cluster);
+        if (failed(header)) {
+            co_return refused(failureOf(header));
+        }
+        std::string payload(valueOf(header).payloadBytes, '\0');
+        co_await asio::async_read(m_stream, asio::buffer(payload),
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return network_failure{network_failure::kind::closed, m_peer, error.message()};
+        }
+        m_counted.bytesIn += frameHeaderBytes + payload.size();
+        ++m_counted.framesIn;
+        auto joined = joinFrame(valueOf(header), std::move(payload));
+        if (failed(joined)) {
+            co_return refused(failureOf(joined));
+        }
+        co_return std::move(valueOf(joined));
+    }
+
+    void send(frame message) override
+    {
+        std::string bytes = encodeFrame(message, m_cluster);
+        m_queuedBytes += bytes.size();
+        m_counted.bytesOut += bytes.size();
+        ++m_counted.framesOut;
+        m_queue.push_back(std::move(bytes));
+        if (m_queuedBytes > maximumQueuedBytes) {
+            close();
+            return;
+        }
+        if (!m_writing) {
+            m_writing = true;
+            asio::co_spawn(m_stream.get_executor(), writeQueue(this->shared_from_this()),
+                           asio::detached);
+        }
+    }
+
+    void close() override
+    {
+        error_code ignored;
+        socketOf(m_stream).shutdown(tcp::socket::shutdown_both, ignored);
+        socketOf(m_stream).close(ignored);
+    }
+
+    [[nodiscard]] host_address peer() const override
+    {
+        return m_peer;
+    }
+
+private:
+    network_failure refused(network_failure failure)
+    {
+        ++m_counted.framesRefused;
+        failure.peer = m_peer;
+        close();
+        return failure;
+    }
+
+    asio::awaitable<void> writeQueue(std::shared_ptr<tcp_connection> /*keepAlive*/)
+    {
+        error_code error;
+        while (!m_queue.empty() && !error) {
+            const std::deque<std::string> batch = std::exchange(m_queue, {});
+            std::vector<asio::const_buffer> buffers;
+            for (const std::string &bytes : batch) {
+                buffers.push_back(asio::buffer(bytes));
+            }
+            co_await asio::async_write(m_stream, buffers,
+                                       asio::redirect_error(asio::use_awaitable, error));
+            for (const std::string &bytes : batch) {
+                m_queuedBytes -= bytes.size();
+            }
+        }
+        m_writing = false;
+        if (error) {
+            close();
+        }
+    }
+
+    Stream m_stream;
+    std::uint32_t m_cluster;
+    link_counters m_counted;
+    host_address m_peer;
+    std::deque<std::string> m_queue;
+    std::size_t m_queuedBytes = 0;
+    bool m_writing = false;
+};
+
+asio::ssl::context makeTlsContext(const link_security &security, error_code &error)
+{
+    asio::ssl::context context(asio::ssl::context::tlsv12);
+    context.set_options(asio::ssl::context::default_workarounds | asio::ssl::context::no_sslv2
+                                | asio::ssl::context::no_sslv3,
+                        error);
+    if (!error) {
+        context.use_certificate_chain_file(security.certificateFile, error);
+    }
+    if (!error) {
+        context.use_private_key_file(security.keyFile, asio::ssl::context::pem, error);
+    }
+    if (!error) {
+        context.load_verify_file(security.authorityFile, error);
+    }
+    context.set_verify_mode(asio::ssl::verify_peer | asio::ssl::verify_fail_if_no_peer_cert);
+    return context;
+}
+
+class tcp_network final : public network
+{
+public:
+    tcp_network(asio::any_io_executor executor, clock_source &clock, counters &counted,
+                const tcp_network_options &options)
+        : m_executor(std::move(executor))
+        , m_clock(clock)
+        , m_counted{counted.at("mango_link_bytes_total{direction=\"out\"}"),
+                    counted.at("mango_link_bytes_total{direction=\"in\"}"),
+                    counted.at("mango_link_frames_total{direction=\"out\"}"),
+                    counted.at("mango_link_frames_total{direction=\"in\"}"),
+                    counted.at("mango_link_frames_refused_total")}
+        , m_cluster(clusterNumber(options.clusterName))
+    {
+        if (options.security.enabled()) {
+            error_code ignored;
+            m_tls.emplace(makeTlsContext(options.security, ignored));
+        }
+    }
+
+    asio::awaitable<result<std::shared_ptr<frame_connection>, network_failure>>
+    connect(host_address address, steady_span timeout) override
+    {
+        auto socket = std::make_shared<tcp::socket>(m_executor);
+        error_code error;
+        const auto endpoint =
+                tcp::endpoint(asio::ip::make_address(address.ip, error), address.port);
+        asio::steady_timer guard(m_executor, timeout);
+        guard.async_wait([socket](error_code cancelled) {
+            error_code ignored;
+            if (!cancelled) {
+                socket->close(ignored);
+            }
+        });
+        co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+        guard.cancel();
+        if (error) {
+            co_return network_failure{network_failure::kind::connectFailed, address,
+                                      error.message()};
+        }
+        co_return co_await secure(std::move(*socket), asio::ssl::stream_base::client);
+    }
+
+    result<done, network_failure> listen(const host_address &address,
+                                         connection_handler handler) override
+    {
+        error_code error;
+        const tcp::endpoint endpoint(asio::ip::make_address(address.ip, error), address.port);
+        auto acceptor = std::make_shared<tcp::acceptor>(m_executor);
+        acceptor->open(endpoint.protocol(), error);
+        acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor->bind(endpoint, error);
+        if (error) {
+            return network_failure{network_failure::kind::addressInUse, address, error.message()};
+        }
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
+        asio::co_spawn(m_executor, acceptAll(acceptor, std::move(handler)), asio::detached);
+        return done{};
+    }
+
+private:
+    asio::awaitable<void> acceptAll(std::shared_ptr<tcp::acceptor> acceptor,
+                                    connection_handler handler)
+    {
+        while (acceptor->is_open()) {
+            error_code error;
+            tcp::socket socket = co_await acceptor->async_accept(
+                    asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                // Out of descriptors for example: try again a little later.
+                co_await m_clock.sleepFor(std::chrono::milliseconds(50));
+                continue;
+            }
+            asio::co_spawn(m_executor, serve(std::move(socket), handler), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket, connection_handler handler)
+    {
+        auto secured = co_await secure(std::move(socket), asio::ssl::stream_base::server);
+        if (failed(secured)) {
+            ++m_counted.framesRefused;
+            logWarn(log_part::wire, "Refused a connection: " + describe(failureOf(secured)) + ".");
+            co_return;
+        }
+        co_await handler(valueOf(secured));
+    }
+
+    asio::awaitable<result<std::shared_ptr<frame_connection>, network_failure>>
+    secure(tcp::socket socket, asio::ssl::stream_base::handshake_type side)
+    {
+        if (!m_tls) {
+            co_return std::make_shared<tcp_connection<tcp::socket>>(std::move(socket), m_cluster,
+                                                                    m_counted);
+        }
+        error_code error;
+        const host_address peer = addressOf(socket.remote_endpoint(error));
+        tls_stream stream(std::move(socket), *m_tls);
+        asio::steady_timer guard(m_executor, handshakeTimeout);
+        guard.async_wait([&stream](error_code cancelled) {
+            error_code ignored;
+            if (!cancelled) {
+                stream.next_layer().close(ignored);
+            }
+        });
+        co_await stream.async_handshake(side, asio::redirect_error(asio::use_awaitable, error));
+        guard.cancel();
+        if (error) {
+            co_return network_failure{network_failure::kind::badCertificate, peer, error.message()};
+        }
+        co_return std::make_shared<tcp_connection<tls_stream>>(std::move(stream), m_cluster,
+                                                               m_counted);
+    }
+
+    asio::any_io_executor m_executor;
+    clock_source &m_clock;
+    link_counters m_counted;
+    std::uint32_t m_cluster;
+    std::optional<asio::ssl::context> m_tls;
+};
+
+} // namespace
+
+std::unique_ptr<network> makeTcpNetwork(asio::any_io_executor executor, clock_source &clock,
+                                        counters &counted, const tcp_network_options &options)
+{
+    return std::make_unique<tcp_network>(std::move(executor), clock, counted, options);
+}
+
+result<done, network_failure> checkSecurity(const link_security &security)
+{
+    if (!security.enabled()) {
+        return done{};
+    }
+    error_code error;
+    makeTlsContext(security, error);
+    if (error) {
+        return network_failure{network_failure::kind::badCertificate,
+                               {},
+                               security.certificateFile + ", " + security.keyFile + ", "
+                                       + security.authorityFile + ": " + error.message()};
+    }
+    return done{};
+}
+
+} // namespace mango
