--- a/Source/Control/entry_service.cxx
+++ b/Source/Control/entry_service.cxx
@@ -101,8 +101,7 @@
             if (worker.announced.incarnation.empty()) {
                 worker.announced.incarnation = holding.incarnation;
             }
-            worker.credits.shares[session.id].granted = holding.held;
-            worker.credits.shares[session.id].listed = true;
+            worker.credits.shares[session.id] = {holding.held, holding.held, true, false};
         } else if (holding.incarnation == worker.announced.incarnation) {
             takeHolding(worker.credits, session.id, holding.held);
         }
--- a/Source/Entry/caller_api.cxx
+++ b/Source/Entry/caller_api.cxx
@@ -169,6 +169,16 @@
     co_return refusedAnswer(entry, refusal_reason::noWorker, row.pool);
 }
 
+// A new entry waits for its first credits before the balancer sends it requests.
+bool isReady(const entry_state &entry)
+{
+    const bool holdsCredit =
+            std::any_of(entry.workers.begin(), entry.workers.end(), [](const auto &item) {
+                return item.second->view.credit > 0;
+            });
+    return holdsLease(entry) && !entry.draining && (holdsCredit || entry.workers.empty());
+}
+
 http_answer health(bool good)
 {
     return {good ? 200U : 503U, {{"Content-Type", "text/plain"}}, good ? "ok\n" : "not ready\n"};
@@ -206,7 +216,7 @@
         co_return health(true);
     }
     if (path == "/mango/v1/health/ready") {
-        co_return health(holdsLease(entry) && !entry.draining);
+        co_return health(isReady(entry));
     }
     if (!holdsLease(entry)) {
         co_return refusedAnswer(entry, refusal_reason::noLease, "");
--- a/Utilities/Load/load_run.cxx
+++ b/Utilities/Load/load_run.cxx
@@ -1,6 +1,6 @@
 #include "Load/load_run.h"
 
-#include <deque>
+#include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,8 +31,42 @@
     std::uint64_t nextNonce = 1;
     std::string prefix;
     std::size_t running = 0;
+    std::set<host_address> notReady;
+    bool ended = false;
 };
 
+constexpr auto readinessInterval = std::chrono::milliseconds(100);
+
+asio::awaitable<void> watchReadiness(std::shared_ptr<shared_run> run, host_address target)
+{
+    asio::steady_timer pause(run->executor);
+    const http_request request{"GET", "/mango/v1/health/ready", {}, "", {}};
+    while (!run->ended) {
+        const auto client = makeHttpClient(run->executor, {target, "", 1U << 16U});
+        const auto answered = co_await client->exchange(request, readinessInterval * 3);
+        if (!failed(answered) && valueOf(answered).status == 200) {
+            run->notReady.erase(target);
+        } else {
+            run->notReady.insert(target);
+        }
+        pause.expires_after(readinessInterval);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+// The next target in turn that is ready, or just the next when none is.
+host_address nextTarget(const shared_run &run, std::uint64_t number)
+{
+    const auto &targets = run.options.targets;
+    for (std::size_t step = 0; step < targets.size(); ++step) {
+        const host_address &target = targets[(number + step) % targets.size()];
+        if (!run.notReady.contains(target)) {
+            return target;
+        }
+    }
+    return targets[number % targets.size()];
+}
+
 bool matches(const http_answer &answer, const std::string &nonce, const std::string &body)
 {
     boost::system::error_code error;
@@ -94,8 +128,7 @@
         request.headers.emplace_back("Idempotency-Key", nonce);
     }
     for (std::uint32_t attempt = 0; attempt < keyedAttempts; ++attempt) {
-        const host_address target =
-                run->options.targets[(number + attempt) % run->options.targets.size()];
+        const host_address target = nextTarget(*run, number + attempt);
         const auto answered = co_await sendOnce(*run, target, request);
         if (countEnd(*run, answered, nonce, request.body, attempt + 1 == keyedAttempts)) {
             break;
@@ -127,6 +160,11 @@
     const auto begin = steady_clock::now();
     const auto end = begin + run->options.duration;
     asio::steady_timer timer(executor);
+    for (const host_address &target : run->options.targets) {
+        if (run->options.balanced) {
+            asio::co_spawn(executor, watchReadiness(run, target), asio::detached);
+        }
+    }
     for (std::size_t caller = 0; caller < run->options.closedLoop; ++caller) {
         asio::co_spawn(executor, runCaller(run, end), asio::detached);
     }
@@ -145,6 +183,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     run->result.elapsed =
             std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begin);
+    run->ended = true;
     while (run->running > 0) {
         timer.expires_after(std::chrono::milliseconds(5));
         co_await timer.async_wait(asio::use_awaitable);
--- a/Utilities/Load/load_run.h
+++ b/Utilities/Load/load_run.h
@@ -20,6 +20,9 @@
     // Sends a key with each request, and sends it again to another target after a lost answer.
     bool keyed = false;
     std::size_t bodyBytes = 0;
+    // Stands in for the platform's balancer: asks each target for its readiness and leaves out
+    // those that are not ready.
+    bool balanced = false;
     // More than zero: that many callers that each send the next request after the answer before.
     std::size_t closedLoop = 0;
 };
--- a/Utilities/Load/main.cxx
+++ b/Utilities/Load/main.cxx
@@ -29,6 +29,7 @@
                 "")("callers", options::value<std::size_t>()->default_value(0),
                     "send the next request after the answer, by so many callers")(
             "keyed", "send an Idempotency-Key, and resend after a lost answer")(
+            "balanced", "leave out targets that are not ready, as a balancer does")(
             "label", options::value<std::string>()->default_value("load"),
             "")("plot", options::value<std::string>(), "write an SVG plot to this file");
     options::variables_map given;
@@ -60,6 +61,7 @@
     load.timeout = std::chrono::milliseconds(given["timeout-ms"].as<std::uint32_t>());
     load.bodyBytes = given["body-bytes"].as<std::size_t>();
     load.closedLoop = given["callers"].as<std::size_t>();
+    load.balanced = given.count("balanced") > 0;
     load.keyed = given.count("keyed") > 0;
     asio::io_context context(1);
     mango::seeded_random random;
