consensus: Refuse calls meant for another identity at the same address

Cause: found by replica.survivesASecondLossRightAfterARepair: a replica that came back with an empty folder answered appends in the name of the identity that was lost, so it counted towards majorities and was never seen as silent and replaced. Also found: a leader by handover stepped down at once, since its lease had no confirmation yet (plannedStopHandsLeadershipOver).

--- a/Source/Common/wake_event.cxx
+++ b/Source/Common/wake_event.cxx
@@ -2,6 +2,28 @@
 
 namespace mango {
 
+// Keeps a waiter on the list for as long as its coroutine's frame lives.
+class wake_event::registration
+{
+public:
+    registration(std::set<wait_timer *> &waiters, wait_timer *timer)
+        : m_waiters(waiters)
+        , m_timer(timer)
+    {
+        m_waiters.insert(m_timer);
+    }
+    registration(const registration &) = delete;
+    registration &operator=(const registration &) = delete;
+    ~registration()
+    {
+        m_waiters.erase(m_timer);
+    }
+
+private:
+    std::set<wait_timer *> &m_waiters;
+    wait_timer *m_timer;
+};
+
 wake_event::wake_event(clock_source &clock)
     : m_clock(clock)
 {}
@@ -9,9 +31,8 @@
 boost::asio::awaitable<bool> wake_event::waitFor(steady_span span)
 {
     auto timer = m_clock.makeTimer();
-    m_waiters.insert(timer.get());
+    const registration registered(m_waiters, timer.get());
     const bool elapsed = co_await timer->waitFor(span);
-    m_waiters.erase(timer.get());
     co_return !elapsed;
 }
 
--- a/Source/Common/wake_event.h
+++ b/Source/Common/wake_event.h
@@ -17,6 +17,8 @@
     void notifyAll();
 
 private:
+    class registration;
+
     clock_source &m_clock;
     std::set<wait_timer *> m_waiters;
 };
--- a/Source/Consensus/replica.cxx
+++ b/Source/Consensus/replica.cxx
@@ -22,6 +22,21 @@
 // Entries kept in memory after a snapshot, for followers that are a little behind.
 constexpr std::uint64_t keptEntries = 256;
 
+// A process whose folder was emptied has another identity than the members know at its address.
+// It must not confirm entries or give votes in the old one's name.
+bool isAddressed(const call_message &message, const std::string &identity)
+{
+    return std::visit(
+            [&](const auto &typed) {
+                if constexpr (requires { typed.target; }) {
+                    return typed.target == identity;
+                } else {
+                    return true;
+                }
+            },
+            message);
+}
+
 } // namespace
 
 replica::replica(asio::any_io_executor executor, clock_source &clock, random_source &random,
@@ -96,7 +111,7 @@
         }
         if (successor != nullptr) {
             const auto client = clientOf(successor->address);
-            const call request{0, handover_request{m_vote.term}};
+            const call request{0, handover_request{successor->identity, m_vote.term}};
             co_await client->invoke(request, m_options.heartbeat * 5);
         }
         co_await m_roleChanged.waitFor(m_options.heartbeat);
@@ -112,6 +127,10 @@
     if (m_stopping) {
         co_return call_refused{"the replica is stopping"};
     }
+    if (!isAddressed(message, m_options.self.identity)) {
+        ++m_counted.at("mango_other_identity_total");
+        co_return call_refused{"meant for another identity at this address"};
+    }
     if (auto *vote = std::get_if<vote_request>(&message)) {
         co_return co_await handleVote(std::move(*vote));
     }
--- a/Source/Consensus/replica.h
+++ b/Source/Consensus/replica.h
@@ -194,6 +194,7 @@
     stored_vote m_vote;
     std::string m_leader;
     steady_time m_leaderContact{};
+    steady_time m_leadsSince{};
     bool m_handingOver = false;
     bool m_stopping = false;
 
--- a/Source/Consensus/replica_election.cxx
+++ b/Source/Consensus/replica_election.cxx
@@ -40,7 +40,7 @@
                              + std::chrono::milliseconds(m_random.below(
                                      static_cast<std::uint64_t>(spread.count()) + 1));
         if (m_role == replica_role::leader) {
-            if (m_clock.now() > leaseEnd() + m_options.electionMaximum) {
+            if (m_clock.now() > std::max(leaseEnd(), m_leadsSince) + m_options.electionMaximum) {
                 logWarn(log_part::consensus, "Stepped down: no majority answers.");
                 stepDown();
             }
@@ -125,6 +125,7 @@
                                           std::shared_ptr<vote_tally> tally)
 {
     const auto client = clientOf(peer.address);
+    request.target = peer.identity;
     const call message{0, std::move(request)};
     const auto answered = co_await client->invoke(message, m_options.electionMinimum);
     --tally->outstanding;
@@ -192,6 +193,7 @@
 {
     m_role = replica_role::leader;
     m_leader = m_options.self.identity;
+    m_leadsSince = m_clock.now();
     m_handingOver = false;
     m_peers.clear();
     m_newcomers.clear();
--- a/Source/Consensus/replica_replication.cxx
+++ b/Source/Consensus/replica_replication.cxx
@@ -67,6 +67,7 @@
 asio::awaitable<bool> replica::sendEntries(const member &peer, std::uint64_t term)
 {
     append_request request;
+    request.target = peer.identity;
     request.term = term;
     request.leader = m_options.self.identity;
     const std::uint64_t next = m_peers[peer.identity].next;
@@ -121,6 +122,7 @@
     std::uint64_t offset = 0;
     while (m_role == replica_role::leader && m_vote.term == term) {
         snapshot_request request;
+        request.target = peer.identity;
         request.term = term;
         request.leader = m_options.self.identity;
         request.index = snapshot.index;
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -52,6 +52,8 @@
 // says that the leader itself asked for this election.
 struct vote_request
 {
+    // The identity that is asked; a process with another one does not answer for it.
+    std::string target;
     std::uint64_t term = 0;
     std::string candidate;
     std::uint64_t lastIndex = 0;
@@ -62,7 +64,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(term, candidate, lastIndex, lastTerm, trial, handover);
+        archive(target, term, candidate, lastIndex, lastTerm, trial, handover);
     }
 };
 
@@ -80,6 +82,7 @@
 
 struct append_request
 {
+    std::string target;
     std::uint64_t term = 0;
     std::string leader;
     std::uint64_t previousIndex = 0;
@@ -90,7 +93,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(term, leader, previousIndex, previousTerm, committed, entries);
+        archive(target, term, leader, previousIndex, previousTerm, committed, entries);
     }
 };
 
@@ -111,6 +114,7 @@
 // One piece of a snapshot, for a follower whose next entry is no longer in the log.
 struct snapshot_request
 {
+    std::string target;
     std::uint64_t term = 0;
     std::string leader;
     std::uint64_t index = 0;
@@ -123,7 +127,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(term, leader, index, indexTerm, group, offset, last, piece);
+        archive(target, term, leader, index, indexTerm, group, offset, last, piece);
     }
 };
 
@@ -142,12 +146,13 @@
 // Asks a follower to stand for election at once, for a planned stop of the leader.
 struct handover_request
 {
+    std::string target;
     std::uint64_t term = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(term);
+        archive(target, term);
     }
 };
 
--- a/Tests/Cases/prelude.lua
+++ b/Tests/Cases/prelude.lua
@@ -68,7 +68,7 @@
     local ledger = folder .. "/ledger-" .. n
     ledgers[n] = ledger
     local arguments = {"mango_stand_in", "--name", "w" .. n, "--address", worker_port(n),
-        "--failure-domain", "d" .. ((n - 1) % (options.domains or 3) + 1),
+        "--announce-address", port(160 + n), "--failure-domain", "d" .. ((n - 1) % (options.domains or 3) + 1),
         "--entries", table.concat(entries, ","), "--ledger", ledger,
         "--announce-ms", "300", "--checkpoints", folder .. "/checkpoints"}
     for _, word in ipairs(options.worker or {}) do arguments[#arguments + 1] = word end
@@ -112,7 +112,10 @@
         write_file(folder .. "/entry-" .. n .. ".ini", entry_settings(n, options))
         start_entry(n)
     end
-    for n = 1, options.workers do start_worker(n, options) end
+    for n = 1, options.workers do
+        relay("worker-" .. n, port(160 + n), worker_port(n))
+        start_worker(n, options)
+    end
     if options.routes then
         put_table("routes", options.routes)
         put_table("pools", options.pools or "[desk]\nworkers = w*\n")
--- /dev/null
+++ b/Tests/Fakes/fake_clock.cxx
@@ -0,0 +1,99 @@
+#include "Fakes/fake_clock.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mango::test {
+
+class fake_clock::fake_timer final : public wait_timer
+{
+public:
+    fake_timer(fake_clock &clock, boost::asio::io_context &context)
+        : m_clock(clock)
+        , m_wait(context)
+    {
+    }
+
+    ~fake_timer() override
+    {
+        m_clock.m_due.erase({m_dueAt, this});
+    }
+
+    boost::asio::awaitable<bool> waitFor(steady_span span) override
+    {
+        boost::system::error_code ignored;
+        m_elapsed = false;
+        m_dueAt = m_clock.m_now + std::max(span, steady_span(0));
+        m_clock.m_due.insert({m_dueAt, this});
+        m_wait.expires_at(steady_time::max());
+        co_await m_wait.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        m_clock.m_due.erase({m_dueAt, this});
+        co_return m_elapsed;
+    }
+
+    void cancel() override
+    {
+        m_wait.cancel();
+    }
+
+    void elapse()
+    {
+        m_elapsed = true;
+        m_wait.cancel();
+    }
+
+private:
+    fake_clock &m_clock;
+    boost::asio::steady_timer m_wait;
+    steady_time m_dueAt{};
+    bool m_elapsed = false;
+};
+
+fake_clock::fake_clock(boost::asio::io_context &context)
+    : m_context(context)
+{
+}
+
+steady_time fake_clock::now() const
+{
+    return m_now;
+}
+
+std::chrono::system_clock::time_point fake_clock::wallTime() const
+{
+    return std::chrono::system_clock::time_point(
+            std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                    m_now.time_since_epoch()));
+}
+
+std::unique_ptr<wait_timer> fake_clock::makeTimer()
+{
+    return std::make_unique<fake_timer>(*this, m_context);
+}
+
+void fake_clock::settle()
+{
+    m_context.restart();
+    while (m_context.poll() > 0) {
+        m_context.restart();
+    }
+}
+
+void fake_clock::advance(steady_span span)
+{
+    const steady_time end = m_now + span;
+    settle();
+    while (!m_due.empty() && m_due.begin()->first <= end) {
+        const auto [dueAt, timer] = *m_due.begin();
+        m_due.erase(m_due.begin());
+        m_now = std::max(m_now, dueAt);
+        timer->elapse();
+        settle();
+    }
+    m_now = end;
+    settle();
+}
+
+} // namespace mango::test
--- a/Utilities/StandInWorker/main.cxx
+++ b/Utilities/StandInWorker/main.cxx
@@ -28,6 +28,11 @@
     made.announced.rack = "rack" + std::to_string(number / 8);
     made.announced.address = mango::valueOf(base);
     made.announced.address.port = static_cast<std::uint16_t>(mango::valueOf(base).port + number);
+    made.listen = made.announced.address;
+    if (given.count("announce-address") > 0) {
+        made.announced.address =
+                mango::valueOf(mango::parseAddress(given["announce-address"].as<std::string>()));
+    }
     made.announced.cores = given["cores"].as<double>();
     made.announced.memoryBytes = std::uint64_t{125} << 30U;
     made.announced.slots = given["slots"].as<std::uint32_t>();
@@ -62,6 +67,7 @@
             "name", options::value<std::string>()->default_value("worker"), "name or its prefix")(
             "count", options::value<std::uint16_t>()->default_value(1), "number of workers")(
             "address", options::value<std::string>()->required(), "ip:port of the first")(
+            "announce-address", options::value<std::string>(), "a relay before the worker")(
             "failure-domain", options::value<std::string>()->default_value("one"),
             "failure domains, in turn")("cores", options::value<double>()->default_value(32), "")(
             "slots", options::value<std::uint32_t>()->default_value(8),
--- a/Utilities/StandInWorker/stand_in_worker.cxx
+++ b/Utilities/StandInWorker/stand_in_worker.cxx
@@ -39,7 +39,7 @@
     , m_tasks(m_options.announced.name, clock, events, m_behaviour.tasks)
 {
     http_server_options server;
-    server.listen = m_options.announced.address;
+    server.listen = m_options.listen;
     server.label = m_options.announced.name;
     m_server = makeHttpServer(m_executor, clock, counted, server, [this](http_request request) {
         return serve(std::move(request));
--- a/Utilities/StandInWorker/stand_in_worker.h
+++ b/Utilities/StandInWorker/stand_in_worker.h
@@ -25,6 +25,8 @@
 struct worker_options
 {
     worker_announcement announced;
+    // Where it listens; the announced address may be a relay before it.
+    host_address listen;
     std::vector<host_address> entries;
     std::chrono::milliseconds announceInterval{1000};
 };
