entry: Keep serving while the control leader changes

Cause, from case stops/rolling_restart and its time line: a new leader's first view said that no worker serves, because it knew none until they announced themselves again; entries asked replicas that relayed to the leader that had just stopped, 400 ms each; requests with less time left than an answer takes were sent all the same, and their slots were lost until reclaimed. Ruled out: elections (handover took 1 ms in the time line), the disk. Change: complete reports tell the workers an entry knows; a new leader presumes them serving for 1 s; a replica relays only to a leader heard within three heartbeats; admission gives up what the usual answer would miss; a pooled connection that the server closed is not used again; links between replicas follow the settings' addresses.

--- a/Source/Consensus/replica.cxx
+++ b/Source/Consensus/replica.cxx
@@ -110,7 +110,7 @@
             }
         }
         if (successor != nullptr) {
-            const auto client = clientOf(successor->address);
+            const auto client = clientOf(*successor);
             const call request{0, handover_request{successor->identity, m_vote.term}};
             co_await client->invoke(request, m_options.heartbeat * 5);
         }
@@ -310,6 +310,10 @@
 
 host_address replica::leaderAddress() const
 {
+    // A leader that was not heard lately has probably stopped; callers look elsewhere at once.
+    if (!isLeader() && m_clock.now() > m_leaderContact + m_options.heartbeat * 3) {
+        return {};
+    }
     const member *leader = findMember(m_leader);
     return leader == nullptr ? host_address{} : leader->address;
 }
@@ -369,8 +373,15 @@
     return static_cast<std::size_t>(voters) / 2 + 1;
 }
 
-std::shared_ptr<rpc_client> replica::clientOf(const host_address &address)
+// The settings know best how this host reaches another; the group's address is for those that are
+// not listed.
+std::shared_ptr<rpc_client> replica::clientOf(const member &peer)
 {
+    const auto listed =
+            std::find_if(m_options.listed.begin(), m_options.listed.end(),
+                         [&](const member &one) { return one.name == peer.name; });
+    const host_address &address =
+            listed == m_options.listed.end() ? peer.address : listed->address;
     auto &client = m_clients[address];
     if (!client) {
         client = std::make_shared<rpc_client>(m_executor, m_clock, m_links, m_events.stamps(),
--- a/Source/Consensus/replica.h
+++ b/Source/Consensus/replica.h
@@ -178,7 +178,7 @@
     [[nodiscard]] const member *findMember(const std::string &identity) const;
     [[nodiscard]] bool isVoter() const;
     [[nodiscard]] std::size_t majority() const;
-    std::shared_ptr<rpc_client> clientOf(const host_address &address);
+    std::shared_ptr<rpc_client> clientOf(const member &peer);
 
     boost::asio::any_io_executor m_executor;
     clock_source &m_clock;
--- a/Source/Consensus/replica_election.cxx
+++ b/Source/Consensus/replica_election.cxx
@@ -124,7 +124,7 @@
 asio::awaitable<void> replica::askForVote(member peer, vote_request request,
                                           std::shared_ptr<vote_tally> tally)
 {
-    const auto client = clientOf(peer.address);
+    const auto client = clientOf(peer);
     request.target = peer.identity;
     const call message{0, std::move(request)};
     const auto answered = co_await client->invoke(message, m_options.electionMinimum);
--- a/Source/Consensus/replica_membership.cxx
+++ b/Source/Consensus/replica_membership.cxx
@@ -65,7 +65,7 @@
         if (peer.name == m_options.self.name) {
             continue;
         }
-        const auto client = clientOf(peer.address);
+        const auto client = clientOf(peer);
         const bool formed = lastIndex() > 0;
         const call greeting{0, hello_request{m_options.self, formed}};
         const auto answered = co_await client->invoke(greeting, m_options.electionMinimum);
@@ -100,7 +100,7 @@
     for (const member &peer : found) {
         if (peer.identity != m_options.self.identity) {
             const call message{0, forming};
-            co_await clientOf(peer.address)->invoke(message, m_options.electionMinimum);
+            co_await clientOf(peer)->invoke(message, m_options.electionMinimum);
         }
     }
 }
--- a/Source/Consensus/replica_replication.cxx
+++ b/Source/Consensus/replica_replication.cxx
@@ -83,7 +83,7 @@
         bytes += request.entries.back().payload.size();
     }
     const steady_time sentAt = m_clock.now();
-    const auto client = clientOf(peer.address);
+    const auto client = clientOf(peer);
     const call message{0, std::move(request)};
     const auto answered = co_await client->invoke(message, appendTimeout);
     if (m_role != replica_role::leader || m_vote.term != term || failed(answered)) {
@@ -118,7 +118,7 @@
     const stored_snapshot snapshot = m_snapshot;
     logInfo(log_part::consensus, "Sends a snapshot of " + std::to_string(snapshot.state.size())
                                          + " bytes to " + peer.name + ".");
-    const auto client = clientOf(peer.address);
+    const auto client = clientOf(peer);
     std::uint64_t offset = 0;
     while (m_role == replica_role::leader && m_vote.term == term) {
         snapshot_request request;
--- a/Source/Control/control_server.cxx
+++ b/Source/Control/control_server.cxx
@@ -105,6 +105,7 @@
 {
     m_leader = std::make_shared<leader_state>(m_context, m_replica.term(), ++m_leaderships);
     fillIndexes(*m_leader);
+    m_context.events.record("leadership begins", {"", "", m_context.settings.name, ""});
     asio::co_spawn(m_context.executor, runScheduler(m_leader), asio::detached);
     asio::co_spawn(m_context.executor, runReporter(m_leader), asio::detached);
     asio::co_spawn(m_context.executor, runExpiry(m_leader), asio::detached);
@@ -143,6 +144,13 @@
         for (const worker_announcement &announcement : report->announcements) {
             takeAnnouncement(leader, announcement);
         }
+        for (const worker_announcement &announcement : report->knownWorkers) {
+            // Hearsay, which counts only until the worker itself is heard.
+            const auto known = leader->workers.find(announcement.name);
+            if (known == leader->workers.end() || known->second->announced.address.port == 0) {
+                takeAnnouncement(leader, announcement);
+            }
+        }
         const auto view = answerEntry(*leader, *report);
         if (!view) {
             co_return not_leader{};
--- a/Source/Control/entry_service.cxx
+++ b/Source/Control/entry_service.cxx
@@ -15,6 +15,7 @@
 
 // Added to the lease that an entry counts, for clocks that run at different rates.
 constexpr auto leaseMargin = std::chrono::milliseconds(100);
+constexpr auto presumedServingTime = std::chrono::milliseconds(1000);
 constexpr double demandWeight = 0.3;
 // Demand below this does not move credits, so that small changes do not shift them about.
 constexpr double baseDemand = 4.0;
@@ -115,14 +116,19 @@
     }
 }
 
+// A new leader takes the word of the entries for a worker until its own first call is answered.
+bool isPresumedServing(const leader_state &leader, const worker_state &worker)
+{
+    return !worker.known && !worker.leaving
+           && leader.shared.clock.now() < leader.since + presumedServingTime
+           && domainInService(leader.shared.machine.state(), worker.announced.failureDomain);
+}
+
 worker_view viewOf(const leader_state &leader, const worker_state &worker, std::uint64_t session)
 {
     worker_view view;
-    view.name = worker.announced.name;
-    view.incarnation = worker.announced.incarnation;
-    view.failureDomain = worker.announced.failureDomain;
-    view.address = worker.announced.address;
-    view.serving = isServing(leader, worker);
+    view.announced = worker.announced;
+    view.serving = isServing(leader, worker) || isPresumedServing(leader, worker);
     const auto share = worker.credits.shares.find(session);
     if (share != worker.credits.shares.end() && !share->second.fenced) {
         view.credit = std::min(share->second.granted, share->second.target);
@@ -130,13 +136,6 @@
     return view;
 }
 
-bool sameView(const worker_view &one, const worker_view &other)
-{
-    return one.incarnation == other.incarnation && one.address == other.address
-           && one.serving == other.serving && one.credit == other.credit
-           && one.failureDomain == other.failureDomain;
-}
-
 void addWorkers(leader_state &leader, entry_session &session, entry_view &view)
 {
     for (const auto &[name, worker] : leader.workers) {
@@ -145,7 +144,7 @@
         }
         const worker_view current = viewOf(leader, *worker, session.id);
         const auto sent = session.sent.find(name);
-        if (sent == session.sent.end() || !sameView(sent->second, current)) {
+        if (sent == session.sent.end() || sent->second != current) {
             view.workers.push_back(current);
             session.sent[name] = current;
         }
--- a/Source/Entry/admission.cxx
+++ b/Source/Entry/admission.cxx
@@ -28,7 +28,7 @@
     for (const worker_handle &worker : state.workers) {
         const bool open = mayDispatchTo(entry, *worker);
         const bool avoided =
-                now < worker->avoidUntil || (!tried.empty() && tried.contains(worker->view.name));
+                now < worker->avoidUntil || (!tried.empty() && tried.contains(worker->view.announced.name));
         candidates.push_back({worker->inUse, open ? worker->view.credit : 0,
                               worker->answerMicroseconds, avoided});
     }
@@ -80,9 +80,24 @@
     state.waiting.insert(place, &waiting);
 }
 
+// A request that the usual answer would miss is given up before it costs a worker anything.
+bool isTooLate(const entry_state &entry, const pool_state &state, steady_time deadline)
+{
+    const double leftMicroseconds =
+            std::chrono::duration<double, std::micro>(deadline - entry.clock.now()).count();
+    return leftMicroseconds < meanAnswerMicroseconds(state);
+}
+
 void serveQueue(entry_state &entry, pool_state &state)
 {
     while (!state.waiting.empty()) {
+        if (isTooLate(entry, state, state.waiting.front()->deadline)) {
+            waiting_request *late = state.waiting.front();
+            state.waiting.pop_front();
+            late->shed = true;
+            late->timer->cancel();
+            continue;
+        }
         const auto taken = takeCredit(entry, state, {});
         if (!taken) {
             return;
@@ -98,7 +113,7 @@
 
 bool mayDispatchTo(const entry_state &entry, const worker_link &worker)
 {
-    return worker.view.serving && !entry.domainsOut.contains(worker.view.failureDomain);
+    return worker.view.serving && !entry.domainsOut.contains(worker.view.announced.failureDomain);
 }
 
 boost::asio::awaitable<result<credit, refusal_reason>>
@@ -118,7 +133,9 @@
     const std::uint32_t credits = usableCredits(entry, state);
     const double leftMicroseconds =
             std::chrono::duration<double, std::micro>(deadline - entry.clock.now()).count();
-    if (expectedWaitMicroseconds(state, priority, credits) > leftMicroseconds) {
+    const double expectedMicroseconds = expectedWaitMicroseconds(state, priority, credits)
+                                        + meanAnswerMicroseconds(state);
+    if (expectedMicroseconds > leftMicroseconds) {
         co_return refusal_reason::overloaded;
     }
     if (state.waiting.size() >= smallestQueue + queuePerCredit * credits) {
@@ -130,7 +147,7 @@
         shed->shed = true;
         shed->timer->cancel();
     }
-    waiting_request waiting{priority, entry.clock.makeTimer(), {}, false};
+    waiting_request waiting{priority, deadline, entry.clock.makeTimer(), {}, false};
     enqueue(state, waiting);
     co_await waiting.timer->waitFor(std::max(deadline - entry.clock.now(), steady_span(0)));
     if (waiting.granted) {
--- a/Source/Entry/caller_api.cxx
+++ b/Source/Entry/caller_api.cxx
@@ -76,7 +76,7 @@
                                                dispatched_request request, std::uint32_t attempt)
 {
     const auto shared = std::make_shared<hedged_attempts>(entry.clock);
-    const std::string firstWorker = held.worker->view.name;
+    const std::string firstWorker = held.worker->view.announced.name;
     const auto usual = std::chrono::microseconds(
             static_cast<std::int64_t>(held.worker->answerMicroseconds * hedgeAnswerTimes));
     const steady_time hedgeAt =
@@ -120,7 +120,7 @@
             co_return maybeRun ? unknownAnswer(entry, last.reason)
                                : refusedAnswer(entry, failureOf(held), row.pool);
         }
-        tried.insert(valueOf(held).worker->view.name);
+        tried.insert(valueOf(held).worker->view.announced.name);
         attempt_outcome outcome;
         if (row.hedged) {
             outcome = co_await attemptHedged(entry, row, valueOf(held), request, attempt);
@@ -154,7 +154,7 @@
         if (failed(held)) {
             co_return refusedAnswer(entry, failureOf(held), row.pool);
         }
-        tried.insert(valueOf(held).worker->view.name);
+        tried.insert(valueOf(held).worker->view.announced.name);
         auto outcome = co_await attemptOn(entry, valueOf(held), request, attempt);
         if (outcome.result == attempt_result::answered) {
             co_return finishedAnswer(std::move(outcome.answer));
--- a/Source/Entry/control_link.cxx
+++ b/Source/Entry/control_link.cxx
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr auto reportTimeout = std::chrono::milliseconds(400);
+constexpr auto reportTimeout = std::chrono::milliseconds(300);
 constexpr auto proposalTimeout = std::chrono::milliseconds(1500);
 constexpr auto retryPause = std::chrono::milliseconds(30);
 
--- a/Source/Entry/dispatch.cxx
+++ b/Source/Entry/dispatch.cxx
@@ -43,7 +43,7 @@
             return std::move(connection.client);
         }
     }
-    return makeHttpClient(entry.executor, {worker.view.address, "", 16ULL << 20U});
+    return makeHttpClient(entry.executor, {worker.view.announced.address, "", 16ULL << 20U});
 }
 
 steady_span attemptTimeout(const entry_state &entry, const worker_link &worker,
@@ -126,7 +126,7 @@
 asio::awaitable<resolved_attempt> resolveAttempt(entry_state &entry, worker_handle worker,
                                                  std::string attempt, bool cancel)
 {
-    const auto client = makeHttpClient(entry.executor, {worker->view.address, "", 16ULL << 20U});
+    const auto client = makeHttpClient(entry.executor, {worker->view.announced.address, "", 16ULL << 20U});
     http_request request{
             "POST", "/mango/v1/attempts", {{"Content-Type", "application/json"}}, "", {}};
     request.body = json::serialize(json::object{{"attempt", attempt}, {"cancel", cancel}});
--- a/Source/Entry/entry_state.cxx
+++ b/Source/Entry/entry_state.cxx
@@ -33,17 +33,17 @@
 
 void takeWorker(entry_state &entry, const worker_view &view)
 {
-    worker_handle &worker = entry.workers[view.name];
+    worker_handle &worker = entry.workers[view.announced.name];
     if (!worker) {
         worker = std::make_shared<worker_link>();
         startGeneration(entry, *worker);
-    } else if (worker->view.incarnation != view.incarnation) {
+    } else if (worker->view.announced.incarnation != view.announced.incarnation) {
         startGeneration(entry, *worker);
         worker->idle.clear();
         worker->answerMicroseconds = 0;
         worker->avoidUntil = {};
     }
-    if (worker->view.address != view.address) {
+    if (worker->view.announced.address != view.announced.address) {
         worker->idle.clear();
     }
     worker->view = view;
@@ -67,8 +67,8 @@
 credit_holding holdingOf(const worker_link &worker)
 {
     credit_holding holding;
-    holding.worker = worker.view.name;
-    holding.incarnation = worker.view.incarnation;
+    holding.worker = worker.view.announced.name;
+    holding.incarnation = worker.view.announced.incarnation;
     holding.held = std::max(worker.view.credit, worker.inUse);
     holding.inUse = worker.inUse;
     holding.answers = worker.windowAnswers;
@@ -135,6 +135,9 @@
         const bool changed = holding.held != worker->reported.held
                              || holding.incarnation != worker->reported.incarnation
                              || holding.answers > 0 || holding.failures > 0;
+        if (complete && worker->view.announced.address.port != 0) {
+            report.knownWorkers.push_back(worker->view.announced);
+        }
         if (changed || (complete && holding.held > 0)) {
             report.holdings.push_back(holding);
         }
--- a/Source/Entry/entry_state.h
+++ b/Source/Entry/entry_state.h
@@ -66,6 +66,7 @@
 struct waiting_request
 {
     urgency priority = urgency::normal;
+    steady_time deadline;
     std::unique_ptr<wait_timer> timer;
     std::optional<credit> granted;
     bool shed = false;
--- a/Source/Entry/keyed_request.cxx
+++ b/Source/Entry/keyed_request.cxx
@@ -85,7 +85,7 @@
 {
     const auto worker = entry.workers.find(held.worker);
     const bool sameProcess = worker != entry.workers.end()
-                             && worker->second->view.incarnation == held.workerIncarnation;
+                             && worker->second->view.announced.incarnation == held.workerIncarnation;
     if (!sameProcess) {
         co_return inProgress(entry);
     }
@@ -127,7 +127,7 @@
                 entry.clock.wallTime().time_since_epoch());
         const claim_command change{
                 key,         fingerprint,        attemptName,
-                worker.name, worker.incarnation, static_cast<std::uint64_t>(wall.count())};
+                worker.announced.name, worker.announced.incarnation, static_cast<std::uint64_t>(wall.count())};
         const auto agreed = co_await control.propose(change, request.deadline);
         claimed = !failed(agreed) && std::holds_alternative<change_accepted>(valueOf(agreed));
         const bool late = entry.clock.now() >= request.deadline || !holdsLease(entry);
@@ -151,7 +151,7 @@
             }
             continue;
         }
-        tried.insert(worker.name);
+        tried.insert(worker.announced.name);
         auto outcome = co_await attemptOn(entry, valueOf(held), request, attempt);
         if (outcome.result == attempt_result::answered) {
             co_return co_await storeAndAnswer(entry, control, key, attemptName,
--- a/Source/Http/http_client.cxx
+++ b/Source/Http/http_client.cxx
@@ -1,5 +1,9 @@
 #include "Http/http_client.h"
 
+#include <cerrno>
+
+#include <sys/socket.h>
+
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/core.hpp>
@@ -147,7 +151,14 @@
 
     [[nodiscard]] bool isOpen() const override
     {
-        return m_connection && m_used;
+        if (!m_connection || !m_used) {
+            return false;
+        }
+        // A server that closed the connection meanwhile left its end of stream to be read.
+        char next = 0;
+        const auto waiting = ::recv(m_connection->lowest().socket().native_handle(), &next, 1,
+                                    MSG_PEEK | MSG_DONTWAIT);
+        return waiting < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
     void close() override
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -267,6 +267,8 @@
     bool leaving = false;
     bool complete = false;
     std::vector<worker_announcement> announcements;
+    // In a complete report, every worker the entry knows, so that a new leader knows them at once.
+    std::vector<worker_announcement> knownWorkers;
     std::vector<credit_holding> holdings;
     std::vector<pool_demand> demands;
 
@@ -274,7 +276,7 @@
     void serialize(Archive &archive)
     {
         archive(name, incarnation, failureDomain, session, configVersion, workersVersion, leaving,
-                complete, announcements, holdings, demands);
+                complete, announcements, knownWorkers, holdings, demands);
     }
 };
 
@@ -296,17 +298,16 @@
 // A worker as entries see it; `serving` is false for one that left, vanished or is quarantined.
 struct worker_view
 {
-    std::string name;
-    std::string incarnation;
-    std::string failureDomain;
-    host_address address;
+    worker_announcement announced;
     bool serving = true;
     std::uint32_t credit = 0;
 
+    bool operator==(const worker_view &) const = default;
+
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, incarnation, failureDomain, address, serving, credit);
+        archive(announced, serving, credit);
     }
 };
 
--- a/Tests/Cases/config/emptied_replica.lua
+++ b/Tests/Cases/config/emptied_replica.lua
@@ -1,6 +1,7 @@
 -- P10: a control host comes back with an empty disk, is taken in under a new identity, and a
 -- second host is lost right after.
 system{entries = 1, workers = 0}
+leader()
 for n = 0, 9 do
     expect(try_put("pools", "[desk" .. n .. "]\nworkers = w*\n", n) == 200, "P10", "refused")
 end
--- a/Utilities/Load/latency_report.h
+++ b/Utilities/Load/latency_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
     std::uint64_t unknown = 0;
     std::uint64_t failed = 0;
     std::uint64_t wrong = 0;
+    // Why requests got no answer or a refusal, by Mango-Reason or what failed.
+    std::map<std::string, std::uint64_t> reasons;
     std::chrono::milliseconds elapsed{0};
 };
 
--- a/Utilities/Load/load_run.cxx
+++ b/Utilities/Load/load_run.cxx
@@ -110,8 +110,10 @@
     }
     if (failed(answered)) {
         ++run.result.failed;
+        ++run.result.reasons[describe(failureOf(answered))];
         return true;
     }
+    ++run.result.reasons[headerValue(valueOf(answered).headers, "Mango-Reason")];
     const std::string outcome = headerValue(valueOf(answered).headers, "Mango-Outcome");
     ++(outcome == "not-run" ? run.result.notRun : run.result.unknown);
     return true;
