--- a/Source/Common/settings.cxx
+++ b/Source/Common/settings.cxx
@@ -218,7 +218,7 @@
 
 std::string settings_reader::requiredText(const std::string &key)
 {
-    const std::string value = text(key, "");
+    std::string value = text(key, "");
     if (value.empty()) {
         m_failures.push_back({settings_failure::kind::missingKey, m_file,
                               "[" + m_section.name + "] " + key, "a value is needed"});
--- a/Source/Consensus/replica_membership.cxx
+++ b/Source/Consensus/replica_membership.cxx
@@ -136,13 +136,14 @@
 // loses its old identity, joins as a learner with the new one, and votes once it has caught up.
 std::optional<members> replica::nextGroup()
 {
-    for (const auto &[name, newcomer] : m_newcomers) {
+    for (const auto &item : m_newcomers) {
+        const member &newcomer = item.second;
         if (findMember(newcomer.identity) != nullptr) {
             continue;
         }
         members group = m_group;
         const auto old = std::find_if(group.begin(), group.end(), [&](const member &one) {
-            return one.name == name;
+            return one.name == newcomer.name;
         });
         if (old == group.end()) {
             continue;
--- a/Source/Control/control_settings.cxx
+++ b/Source/Control/control_settings.cxx
@@ -119,7 +119,7 @@
         }
     }
     for (const settings_reader *reader : readers) {
-        const auto finished = reader->finish();
+        auto finished = reader->finish();
         if (failed(finished)) {
             return finished;
         }
--- a/Source/Control/worker_protocol.cxx
+++ b/Source/Control/worker_protocol.cxx
@@ -37,7 +37,7 @@
 
     std::string requiredText(const char *name)
     {
-        const std::string value = text(name);
+        std::string value = text(name);
         if (value.empty()) {
             reject(name);
         }
--- a/Source/State/cluster_state.cxx
+++ b/Source/State/cluster_state.cxx
@@ -40,7 +40,7 @@
     if (made != nullptr) {
         return made->outcome;
     }
-    const verdict outcome = change();
+    verdict outcome = change();
     if (!changeId.empty()) {
         state.changes.push_back({changeId, fingerprint, outcome});
         if (state.changes.size() > rememberedChangeLimit) {
--- a/Source/Wire/tcp_network.cxx
+++ b/Source/Wire/tcp_network.cxx
@@ -146,6 +146,7 @@
         while (!m_queue.empty() && !error) {
             const std::deque<std::string> batch = std::exchange(m_queue, {});
             std::vector<asio::const_buffer> buffers;
+            buffers.reserve(batch.size());
             for (const std::string &bytes : batch) {
                 buffers.push_back(asio::buffer(bytes));
             }
--- a/Tests/Runner/scenario.cxx
+++ b/Tests/Runner/scenario.cxx
@@ -67,7 +67,7 @@
     lua_newtable(lua);
     for (std::size_t number = 0; number < list.size(); ++number) {
         lua_pushlstring(lua, list[number].data(), list[number].size());
-        lua_rawseti(lua, -2, static_cast<lua_Integer>(number + 1));
+        lua_rawseti(lua, -2, static_cast<lua_Integer>(number) + 1);
     }
 }
 
--- a/Tests/Unit/scheduling_test.cxx
+++ b/Tests/Unit/scheduling_test.cxx
@@ -108,6 +108,7 @@
     std::vector<std::uint64_t> live{1, 2, 3};
     for (int step = 0; step < 20'000; ++step) {
         std::vector<session_demand> demands;
+        demands.reserve(live.size());
         for (const std::uint64_t session : live) {
             demands.push_back({session, static_cast<std::uint32_t>(1 + random.below(9))});
         }
--- a/Utilities/StandInWorker/stand_in_worker.cxx
+++ b/Utilities/StandInWorker/stand_in_worker.cxx
@@ -48,7 +48,7 @@
 
 result<done, settings_failure> worker::start()
 {
-    const auto started = m_server->start();
+    auto started = m_server->start();
     if (!failed(started)) {
         asio::co_spawn(m_executor, runAnnouncements(), asio::detached);
         asio::co_spawn(m_executor, runTasks(), asio::detached);
@@ -103,7 +103,7 @@
 
 std::string worker::issueNonce()
 {
-    const std::string nonce = randomIdentifier(m_random);
+    std::string nonce = randomIdentifier(m_random);
     m_nonces[nonce] = {m_clock.now(), m_tasks.mark()};
     if (m_nonces.size() > rememberedNonces) {
         const auto oldest = std::min_element(m_nonces.begin(), m_nonces.end(),
