--- a/Utilities/StandInWorker/task_runs.cxx
+++ b/Utilities/StandInWorker/task_runs.cxx
@@ -9,7 +9,7 @@
 namespace {
 
 // A running task counts as changed that often, so that its usage is reported late but regularly.
-constexpr double usageReportMs = 2000;
+constexpr double usageReportMs = 10'000;
 
 std::string checkpointPath(const task_behaviour &behaviour, const std::string &name)
 {
