--- a/Source/Common/settings.cxx
+++ b/Source/Common/settings.cxx
@@ -103,6 +103,12 @@
     return content.str();
 }
 
+result<ini_sections, settings_failure> readIniFile(const std::string &path)
+{
+    const auto text = readTextFile(path);
+    return failed(text) ? failureOf(text) : parseIni(valueOf(text), path);
+}
+
 result<std::uint64_t, settings_failure> parseCount(const std::string &text)
 {
     std::uint64_t value = 0;
--- a/Source/Common/settings.h
+++ b/Source/Common/settings.h
@@ -56,6 +56,9 @@
 // Reads a whole file into memory.
 result<std::string, settings_failure> readTextFile(const std::string &path);
 
+// Reads the sections of an INI file.
+result<ini_sections, settings_failure> readIniFile(const std::string &path);
+
 // Values with their units: "250ms", "3s", "5m", "24h"; "64KB", "32MB", "2GB"; "10.0.0.1:80".
 result<std::chrono::milliseconds, settings_failure> parseDuration(const std::string &text);
 result<std::uint64_t, settings_failure> parseBytes(const std::string &text);
--- a/Source/Control/control_settings.cxx
+++ b/Source/Control/control_settings.cxx
@@ -151,11 +151,7 @@
 
 result<control_settings, settings_failure> loadControlSettings(const std::string &path)
 {
-    const auto text = readTextFile(path);
-    if (failed(text)) {
-        return failureOf(text);
-    }
-    const auto parsed = parseIni(valueOf(text), path);
+    const auto parsed = readIniFile(path);
     if (failed(parsed)) {
         return failureOf(parsed);
     }
--- a/Source/Entry/entry_settings.cxx
+++ b/Source/Entry/entry_settings.cxx
@@ -37,11 +37,7 @@
 
 result<entry_settings, settings_failure> loadEntrySettings(const std::string &path)
 {
-    const auto text = readTextFile(path);
-    if (failed(text)) {
-        return failureOf(text);
-    }
-    const auto parsed = parseIni(valueOf(text), path);
+    const auto parsed = readIniFile(path);
     if (failed(parsed)) {
         return failureOf(parsed);
     }
--- a/Source/Programs/Control/main.cxx
+++ b/Source/Programs/Control/main.cxx
@@ -3,17 +3,13 @@
 #include <iostream>
 
 #include <boost/asio.hpp>
-#include <boost/program_options.hpp>
 
-#include "Common/log.h"
+#include "Common/program.h"
 #include "Control/control_server.h"
 
 namespace {
 
 namespace asio = boost::asio;
-namespace options = boost::program_options;
-
-constexpr int exitSettings = 2;
 
 // Ends on the first SIGTERM or SIGINT after handing over, on the second at once.
 asio::awaitable<void> awaitStop(mango::control_server &server, asio::io_context &context)
@@ -33,8 +29,7 @@
 {
     const auto started = co_await server.start();
     if (mango::failed(started)) {
-        std::cerr << "mango_control: " << mango::describe(mango::failureOf(started)) << "\n";
-        status = exitSettings;
+        status = mango::settingsError("mango_control", mango::describe(mango::failureOf(started)));
         context.stop();
         co_return;
     }
@@ -45,9 +40,8 @@
 {
     const auto lock = mango::lockDataFolder(settings.dataFolder);
     if (mango::failed(lock)) {
-        std::cerr << "mango_control: [control] data: " << mango::describe(mango::failureOf(lock))
-                  << "\n";
-        return exitSettings;
+        return mango::settingsError("mango_control",
+                                    "[control] data: " + mango::describe(mango::failureOf(lock)));
     }
     const auto token = mango::readSecretFile(settings.tokenFile);
     asio::io_context context(1);
@@ -74,34 +68,6 @@
 
 int main(int argc, char **argv)
 {
-    options::options_description described("mango_control: one replica of the control program\n"
-                                           "Example: mango_control --settings control.ini\n");
-    described.add_options()("help", "show this text")(
-            "settings", options::value<std::string>()->default_value("control.ini"),
-            "the settings file")("check-settings", "check the settings file and exit");
-    options::variables_map given;
-    try {
-        options::store(options::parse_command_line(argc, argv, described), given);
-        options::notify(given);
-    } catch (const options::error &error) {
-        std::cerr << "mango_control: " << error.what() << "\n";
-        return exitSettings;
-    }
-    if (given.count("help") > 0) {
-        std::cout << described;
-        return 0;
-    }
-    const auto settings = mango::loadControlSettings(given["settings"].as<std::string>());
-    if (mango::failed(settings) || !mango::startLogging(mango::valueOf(settings).logLevel)) {
-        std::cerr << "mango_control: "
-                  << (mango::failed(settings) ? mango::describe(mango::failureOf(settings))
-                                              : "[control] log_level: not a level")
-                  << "\n";
-        return exitSettings;
-    }
-    if (given.count("check-settings") > 0) {
-        std::cout << "The settings are valid.\n";
-        return 0;
-    }
-    return serve(mango::valueOf(settings));
+    return mango::runProgram(argc, argv, "mango_control", "one replica of the control program",
+                             mango::loadControlSettings, serve);
 }
--- a/Source/Programs/Entry/main.cxx
+++ b/Source/Programs/Entry/main.cxx
@@ -3,18 +3,14 @@
 #include <iostream>
 
 #include <boost/asio.hpp>
-#include <boost/program_options.hpp>
 
-#include "Common/log.h"
+#include "Common/program.h"
 #include "Entry/caller_api.h"
 #include "Storage/data_folder.h"
 
 namespace {
 
 namespace asio = boost::asio;
-namespace options = boost::program_options;
-
-constexpr int exitSettings = 2;
 
 // The parts of one entry process.
 struct entry_process
@@ -50,9 +46,8 @@
 {
     const auto lock = mango::lockDataFolder(settings.dataFolder);
     if (mango::failed(lock)) {
-        std::cerr << "mango_entry: [entry] data: " << mango::describe(mango::failureOf(lock))
-                  << "\n";
-        return exitSettings;
+        return mango::settingsError("mango_entry",
+                                    "[entry] data: " + mango::describe(mango::failureOf(lock)));
     }
     asio::io_context context(1);
     const auto executor = context.get_executor();
@@ -77,8 +72,7 @@
     for (mango::http_server *server : {callers.get(), workers.get()}) {
         const auto started = server->start();
         if (mango::failed(started)) {
-            std::cerr << "mango_entry: " << mango::describe(mango::failureOf(started)) << "\n";
-            return exitSettings;
+            return mango::settingsError("mango_entry", mango::describe(mango::failureOf(started)));
         }
     }
     asio::co_spawn(context, control.runReports(), asio::detached);
@@ -95,34 +89,6 @@
 
 int main(int argc, char **argv)
 {
-    options::options_description described("mango_entry: takes requests from callers\n"
-                                           "Example: mango_entry --settings entry.ini\n");
-    described.add_options()("help", "show this text")(
-            "settings", options::value<std::string>()->default_value("entry.ini"),
-            "the settings file")("check-settings", "check the settings file and exit");
-    options::variables_map given;
-    try {
-        options::store(options::parse_command_line(argc, argv, described), given);
-        options::notify(given);
-    } catch (const options::error &error) {
-        std::cerr << "mango_entry: " << error.what() << "\n";
-        return exitSettings;
-    }
-    if (given.count("help") > 0) {
-        std::cout << described;
-        return 0;
-    }
-    const auto settings = mango::loadEntrySettings(given["settings"].as<std::string>());
-    if (mango::failed(settings) || !mango::startLogging(mango::valueOf(settings).logLevel)) {
-        std::cerr << "mango_entry: "
-                  << (mango::failed(settings) ? mango::describe(mango::failureOf(settings))
-                                              : "[entry] log_level: not a level")
-                  << "\n";
-        return exitSettings;
-    }
-    if (given.count("check-settings") > 0) {
-        std::cout << "The settings are valid.\n";
-        return 0;
-    }
-    return serve(mango::valueOf(settings));
+    return mango::runProgram(argc, argv, "mango_entry", "takes requests from callers",
+                             mango::loadEntrySettings, serve);
 }
