scheduling: Keep no idle worker for services in a small pool

Cause: three cases of tasks failed with the tail weighting's two idle workers: half of a pool of three or four was closed to batch work though nobody asked for anything. Change: while nobody asks, at most a quarter of a pool is kept; the case about failing workers uses the batch weighting, so that the failing worker is open to tasks (its checks are as they were). Also: mutations.txt is split at @, since expressions hold |; the first run of mutations.sh ended there.

--- a/Source/Control/service_workers.cxx
+++ b/Source/Control/service_workers.cxx
@@ -13,6 +13,9 @@
 constexpr double slotsPerRequestForTail = 2.0;
 constexpr double slotsPerRequestForBatch = 1.25;
 constexpr double noDemand = 0.02;
+constexpr std::size_t idleServiceWorkers = 2;
+// At most one worker in so many is kept while nobody asks.
+constexpr std::size_t idlePoolShare = 4;
 // A pool gives a worker back only after that many windows in which it had one too many.
 constexpr std::uint32_t surplusWindowLimit = 20;
 
@@ -104,17 +107,18 @@
 std::size_t neededServiceWorkers(double requestsInProgress, std::uint32_t slotsPerWorker,
                                  std::size_t workers, std::size_t domains, pool_weighting weighting)
 {
-    const bool tail = weighting == pool_weighting::tailLatency;
-    // The tail weighting keeps its least workers also while nobody asks, for the first who does.
-    const bool wanted = tail || requestsInProgress >= noDemand;
-    if (!wanted || slotsPerWorker == 0 || workers < 2) {
+    if (slotsPerWorker == 0) {
         return 0;
     }
+    const bool tail = weighting == pool_weighting::tailLatency;
     const double slots =
             requestsInProgress * (tail ? slotsPerRequestForTail : slotsPerRequestForBatch);
     const auto needed = static_cast<std::size_t>(std::ceil(slots / slotsPerWorker));
-    const std::size_t least = tail ? std::min<std::size_t>(2, domains) : 1;
-    return std::min(std::max(needed, least), workers / 2);
+    // The tail weighting keeps a few workers also while nobody asks, for the first who does; a
+    // small pool cannot afford that.
+    const std::size_t idle =
+            tail ? std::min({idleServiceWorkers, domains, workers / idlePoolShare}) : 0;
+    return std::min(std::max(requestsInProgress < noDemand ? 0 : needed, idle), workers / 2);
 }
 
 void chooseServiceWorkers(leader_state &leader)
--- a/Tests/Cases/tasks/jobs_and_workers_gone_wrong.lua
+++ b/Tests/Cases/tasks/jobs_and_workers_gone_wrong.lua
@@ -12,7 +12,7 @@
 kind = batch
 pool = desk
 team = poor
-]], pools = "[desk]\nworkers = w*\nquotas = poor:0\n", timing = "task_lease = 3s\n"}
+]], pools = "[desk]\nworkers = w*\nquotas = poor:0\nweighting = batch\n", timing = "task_lease = 3s\n"}
 local function refused(path, body, why)
     local status, text = http(caller_port(1), "POST", path, {}, body)
     expect(status == 422 and text:match(why), "L3", path .. " got " .. tostring(text))
--- a/Tests/Unit/scheduling_test.cxx
+++ b/Tests/Unit/scheduling_test.cxx
@@ -246,6 +246,8 @@
     EXPECT_EQ(neededServiceWorkers(13, 8, 20, 3, tail), 4U);
     EXPECT_EQ(neededServiceWorkers(500, 8, 20, 3, tail), 10U);
     EXPECT_EQ(neededServiceWorkers(5, 8, 1, 1, tail), 0U);
+    EXPECT_EQ(neededServiceWorkers(0, 8, 3, 3, tail), 0U);
+    EXPECT_EQ(neededServiceWorkers(1, 8, 3, 3, tail), 1U);
     EXPECT_EQ(neededServiceWorkers(1, 8, 20, 1, tail), 1U);
 }
 
--- a/Utilities/mutations.sh
+++ b/Utilities/mutations.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Takes one mechanism out at a time, in a copy of the tree, and shows that a test notices. Each line
-# of mutations.txt holds: promise | file | sed expression | command that must fail.
+# of mutations.txt holds: promise @ file @ sed expression @ command that must fail.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 copy=$(mktemp -d)
@@ -11,10 +11,10 @@
 cmake --build "$copy/build" --target $targets > /dev/null
 scenario() {
     build/bin/run_scenario --script "Tests/Cases/$1.lua" --prelude Tests/Cases/prelude.lua \
-        --programs build/bin --port 45000
+        --programs build/bin --port 28000
 }
 survived=0
-while IFS='|' read -r promise file expression command; do
+while IFS="@" read -r promise file expression command; do
     [[ -z $promise || $promise == \#* ]] && continue
     promise=${promise// /}
     file=${file// /}
