--- a/Source/Entry/answers.cxx
+++ b/Source/Entry/answers.cxx
@@ -30,11 +30,9 @@
     case refusal_reason::overloaded:
         return {503, "overloaded", "it could not be served before its deadline"};
     case refusal_reason::claimFailed:
-        return {503, "no_claim", "its key could not be claimed in time"};
-    case refusal_reason::draining:
         break;
     }
-    return {503, "draining", "this entry is stopping"};
+    return {503, "no_claim", "its key could not be claimed in time"};
 }
 
 } // namespace
--- a/Source/Entry/entry_state.h
+++ b/Source/Entry/entry_state.h
@@ -58,8 +58,7 @@
     noWorker,
     deadlinePassed,
     overloaded,
-    claimFailed,
-    draining
+    claimFailed
 };
 
 // A request that waits for a credit. Lives in the coroutine that waits.
--- a/Source/Http/http_server.cxx
+++ b/Source/Http/http_server.cxx
@@ -254,11 +254,6 @@
         co_return m_state->inProgress == 0;
     }
 
-    [[nodiscard]] std::size_t requestsInProgress() const override
-    {
-        return m_state->inProgress;
-    }
-
 private:
     asio::awaitable<void> acceptAll()
     {
--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -44,8 +44,6 @@
     // Stops taking connections and lets those in progress end, for the span at most; true when
     // every request in progress was answered.
     virtual boost::asio::awaitable<bool> drain(steady_span limit) = 0;
-    // Requests that are being served now.
-    [[nodiscard]] virtual std::size_t requestsInProgress() const = 0;
 };
 
 std::unique_ptr<http_server> makeHttpServer(boost::asio::any_io_executor executor,
