log: Buffer lines for standard output, keep whole stories, serve histograms

Cause: log lines were written to standard error by the thread that decides, so that a slow reader could block it; the budget of 40 lines a second and event cut every story short under load; the lines of placements did not tell what decided; there were no latencies and no metrics address on the platform.

Change: lines pass through log4cxx's asynchronous appender (800 lines, never blocking) to standard output. Counters have histograms (Boost.Histogram) of calls, first starts, calls to workers and agreement, at the address `metrics`; a port that is taken only costs the page. mango_timeline reads logs. The waiting times of calls moved from platform/ to Gateway/call_patience.

Not done: queue lengths at a decision, causal order of logs whose clocks disagree.

--- a/Source/Common/event_log.cxx
+++ b/Source/Common/event_log.cxx
@@ -1,41 +1,38 @@
 #include "Common/event_log.h"
 
-#include <chrono>
-#include <map>
+#include <utility>
 
 #include "Common/log.h"
+#include "Common/log_budget.h"
 
 namespace mango {
 
 namespace {
 
-// Lines a second of one event; a flood of one kind leaves the others their lines.
-constexpr std::uint32_t linesPerSecond = 40;
+std::uint64_t suppressedTotal = 0;
 
-struct event_budget
+std::function<void(const std::string &)> &eventSink()
 {
-    std::chrono::steady_clock::time_point since{};
-    std::uint32_t written = 0;
-    std::uint64_t suppressed = 0;
-};
-
-std::uint64_t suppressedTotal = 0;
+    static std::function<void(const std::string &)> sink;
+    return sink;
+}
 
-// True when the event may write a line now.
-bool takeLine(event_budget &budget)
+// What names the request or job that a line is about; empty when none does.
+std::string storyOf(std::initializer_list<log_field> fields)
 {
-    const auto now = std::chrono::steady_clock::now();
-    if (now - budget.since >= std::chrono::seconds(1)) {
-        budget.since = now;
-        budget.written = 0;
-    }
-    if (budget.written >= linesPerSecond) {
-        ++budget.suppressed;
-        ++suppressedTotal;
-        return false;
+    for (const log_field &field : fields) {
+        const std::string key = field.key;
+        if (key == "job") {
+            return field.value;
+        }
+        if (key == "run") {
+            return field.value.substr(0, field.value.find('.'));
+        }
+        if (key == "path") {
+            return field.value.substr(field.value.rfind('/') + 1);
+        }
     }
-    ++budget.written;
-    return true;
+    return {};
 }
 
 void appendValue(std::string &line, const std::string &value)
@@ -56,9 +53,12 @@
 
 void logEvent(const char *part, const char *event, std::initializer_list<log_field> fields)
 {
-    static thread_local std::map<std::string, event_budget> budgets;
-    event_budget &budget = budgets[event];
-    if (!takeLine(budget)) {
+    static log_budget budget;
+    static std::uint64_t suppressed = 0;
+    if (!eventSink()
+        && !takeLine(budget, event, storyOf(fields), std::chrono::steady_clock::now())) {
+        ++suppressed;
+        ++suppressedTotal;
         return;
     }
     std::string line = std::string("event=") + event;
@@ -68,12 +68,21 @@
         line += '=';
         appendValue(line, field.value);
     }
-    if (budget.suppressed > 0) {
-        line += " suppressed=" + std::to_string(std::exchange(budget.suppressed, 0));
+    if (suppressed > 0) {
+        line += " suppressed=" + std::to_string(std::exchange(suppressed, 0));
+    }
+    if (eventSink()) {
+        eventSink()(line);
+        return;
     }
     logInfo(part, line);
 }
 
+void captureEvents(std::function<void(const std::string &line)> sink)
+{
+    eventSink() = std::move(sink);
+}
+
 std::uint64_t suppressedLogLines()
 {
     return suppressedTotal;
--- a/Source/Common/event_log.h
+++ b/Source/Common/event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 
@@ -28,10 +29,15 @@
     std::string value;
 };
 
-// Writes one line "event=EVENT key=value ..." at level info. Each event has a budget of lines a
-// second; what goes beyond it is counted and told with the event's next line, as suppressed=N.
+// Writes one line "event=EVENT key=value ..." at level info, within the budget of the process. The
+// fields job, run or path, if there is one, name the story that the line belongs to. Lines that
+// were left out are told with the next one that is written, as suppressed=N.
 void logEvent(const char *part, const char *event, std::initializer_list<log_field> fields);
 
+// Hands all lines to a function instead of the log, without a budget; for tests. An empty function
+// ends that.
+void captureEvents(std::function<void(const std::string &line)> sink);
+
 // The lines of all events that were left out so far.
 std::uint64_t suppressedLogLines();
 
--- a/Source/Common/log.cxx
+++ b/Source/Common/log.cxx
@@ -2,12 +2,21 @@
 
 #include <map>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace mango {
 
+namespace {
+
+// Two seconds of lines at the budget of event_log; about 100 KB.
+constexpr int bufferedLines = 800;
+
+} // namespace
+
 bool startLogging(const std::string &level)
 {
     static const std::map<std::string, log4cxx::LevelPtr> levels = {
@@ -20,13 +29,23 @@
         return false;
     }
     auto layout = std::make_shared<log4cxx::PatternLayout>(
-            LOG4CXX_STR("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p [%c] %m%n"));
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
-    log4cxx::BasicConfigurator::configure(appender);
+            LOG4CXX_STR("%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p [%c] %m%n"));
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
+    auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+    buffer->setBufferSize(bufferedLines);
+    buffer->setBlocking(false);
+    buffer->addAppender(console);
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(buffer);
     log4cxx::Logger::getRootLogger()->setLevel(found->second);
     return true;
 }
 
+void finishLogging()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 log4cxx::LoggerPtr logger(const char *part)
 {
     return log4cxx::Logger::getLogger(part);
--- a/Source/Common/log.h
+++ b/Source/Common/log.h
@@ -16,10 +16,14 @@
 inline constexpr const char *wire = "wire";
 } // namespace log_part
 
-// Starts logging to standard error; level is one of debug, info, warn, error.
-// Returns false for another level.
+// Starts logging to standard output; level is one of debug, info, warn, error. Lines are handed to
+// a thread of their own through a bounded buffer, and left out when that is full, so that no caller
+// ever waits for the output. Returns false for another level.
 bool startLogging(const std::string &level);
 
+// Writes what the buffer holds; nothing may be logged after that.
+void finishLogging();
+
 // The logger of one part.
 log4cxx::LoggerPtr logger(const char *part);
 
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -216,7 +216,10 @@
 
 asio::awaitable<std::optional<fleet_verdict>> agree(dispatch_handle state, fleet_command change)
 {
+    const steady_time begin = state->shared.clock.now();
     auto agreed = co_await state->shared.agreement.propose(encodeFleetCommand(change));
+    state->shared.counted.durations("mango_agree_seconds")
+            .observe(state->shared.clock.now() - begin);
     if (failed(agreed)) {
         co_return std::nullopt;
     }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -60,6 +60,17 @@
     stopping
 };
 
+// Why a run was placed on its worker; for the log.
+struct placement_reason
+{
+    const char *why = "adopted";
+    // The workers that fitted, and the cores that were free on the chosen one, in thousandths.
+    std::uint32_t candidates = 0;
+    std::int64_t freeMilliCores = 0;
+    // When the worker was last heard before the decision.
+    steady_time heardAt{};
+};
+
 struct live_run
 {
     run_key key;
@@ -94,6 +105,7 @@
     // Since when its tail is over the bound; nothing when it is not.
     std::optional<steady_time> overSince;
     std::string checkpoint;
+    placement_reason placed;
 };
 
 // One life of a worker.
@@ -154,6 +166,8 @@
     // The path of its queue.
     std::string queue;
     steady_time since{};
+    // A task of it has begun under this leader.
+    bool begun = false;
     std::map<std::uint32_t, std::vector<live_step>> occurrences;
 };
 
--- a/Source/Dispatch/run_pacing.cxx
+++ b/Source/Dispatch/run_pacing.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/run_pacing.h"
 
+#include <algorithm>
+
 #include "Common/event_log.h"
 #include "Common/log.h"
 
@@ -20,8 +22,28 @@
     return run.phase == live_phase::running && !run.ending && !run.stopWanted;
 }
 
+// The serving task that binds most, by what its load and what fills beside it exceed its limit.
+const serving_task &tightest(const std::vector<serving_task> &serving)
+{
+    return *std::max_element(
+            serving.begin(), serving.end(), [](const serving_task &one, const serving_task &other) {
+                return one.load + one.added - one.limit < other.load + other.added - other.limit;
+            });
+}
+
+// The task that binds and its figures in percent of what its bound allows, for the log.
+std::string toText(const serving_task &task)
+{
+    const auto percent = [](double share) {
+        return std::to_string(static_cast<int>(share * 100));
+    };
+    return jobName(task.job) + "/" + std::to_string(task.number) + ":tail=" + percent(task.tail)
+           + ",load=" + percent(task.load) + ",added=" + percent(task.added)
+           + ",limit=" + percent(task.limit) + ",over_ms=" + std::to_string(task.overFor.count());
+}
+
 asio::awaitable<void> sendPace(dispatch_handle state, live_worker_handle worker, run_key key,
-                               std::uint32_t pace)
+                               std::uint32_t pace, serving_task bound)
 {
     const order_target target{worker->record.life, worker->record.address, state->term};
     const auto answer = co_await state->shared.workers.pace(target, key, pace);
@@ -34,6 +56,7 @@
               {"worker", worker->record.life.id},
               {"from", found->second.pacedTo},
               {"to", pace},
+              {"for", toText(bound)},
               {"answer", toText(answer.result)}});
     if (answer.result == order_result::done) {
         found->second.pacedTo = pace;
@@ -93,6 +116,7 @@
         learnInterference(state->interference, images.serving, images.filling, now);
     }
     assessServing(state->interference, images.serving, images.filling, now, pacingHorizon);
+    const serving_task bound = tightest(images.serving);
     const auto decisions = decidePaces(state->interference, images.serving, images.filling);
     for (std::size_t at = 0; at < decisions.size(); ++at) {
         const auto found = worker->runs.find(images.fillingRuns[at]);
@@ -104,10 +128,11 @@
                      {{"run", toText(found->first)},
                       {"worker", worker->record.life.id},
                       {"why", "disturbs"},
+                      {"for", toText(bound)},
                       {"percent", found->second.percent}});
             requestStop(state, worker, found->second);
         } else if (decisions[at].step == pacing_step::change) {
-            co_await sendPace(state, worker, images.fillingRuns[at], decisions[at].pace);
+            co_await sendPace(state, worker, images.fillingRuns[at], decisions[at].pace, bound);
         }
     }
 }
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -151,22 +151,30 @@
                         avoided == ready.live->avoided.end() ? nullptr : &avoided->second,
                         &state->interference,
                         imageId(state->interference, step.image)};
-    int chosen = chooseOffer(round.offers, need);
-    if (chosen < 0 && isStarved(round, *ready.live, state->shared.clock.now())) {
+    offer_choice chosen = chooseOffer(round.offers, need);
+    const char *why = "fits";
+    if (chosen.at < 0 && isStarved(round, *ready.live, state->shared.clock.now())) {
         need.starved = true;
+        why = "starved";
         chosen = chooseOffer(round.offers, need);
     }
-    if (chosen < 0 && need.avoided != nullptr) {
+    if (chosen.at < 0 && need.avoided != nullptr) {
         need.avoided = nullptr;
+        why = "tried-before";
         chosen = chooseOffer(round.offers, need);
     }
-    if (chosen < 0) {
+    if (chosen.at < 0) {
         return false;
     }
-    takeRoom(round.offers[static_cast<std::size_t>(chosen)], need);
-    const live_worker_handle &worker = round.workers[static_cast<std::size_t>(chosen)];
+    worker_offer &offer = round.offers[static_cast<std::size_t>(chosen.at)];
+    const live_worker_handle &worker = round.workers[static_cast<std::size_t>(chosen.at)];
+    const auto free = step.fillsGaps ? gapMilliCores(offer)
+                                     : std::int64_t(offer.record->capacity.milliCores)
+                                               - offer.used.milliCores;
+    takeRoom(offer, need);
     const run_key key{{ready.job, ready.occurrence, ready.step, index}, run};
-    addRun(*state, worker, key, step, live_phase::planned);
+    live_run &added = addRun(*state, worker, key, step, live_phase::planned);
+    added.placed = {why, chosen.candidates, free, worker->heardAt};
     begun.runs.push_back({key, worker->record.life});
     return true;
 }
@@ -195,12 +203,12 @@
                                   nullptr,
                                   &state->interference,
                                   imageId(state->interference, step.image)};
-        const int chosen = chooseOffer(trial, need);
-        if (chosen < 0) {
+        const offer_choice chosen = chooseOffer(trial, need);
+        if (chosen.at < 0) {
             return;
         }
-        takeRoom(trial[static_cast<std::size_t>(chosen)], need);
-        ++onWorkers[trial[static_cast<std::size_t>(chosen)].record->life];
+        takeRoom(trial[static_cast<std::size_t>(chosen.at)], need);
+        ++onWorkers[trial[static_cast<std::size_t>(chosen.at)].record->life];
     }
     ready.live->waiting.clear();
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -284,7 +292,10 @@
                      {{"run", toText(key)},
                       {"worker", worker->record.life.id},
                       {"why", "stands-still"},
-                      {"percent", run.percent}});
+                      {"percent", run.percent},
+                      {"age_ms", progress.age.count()},
+                      {"standing_ms", progress.standing.count()},
+                      {"expected_ms", expected.count()}});
             noteHealth(*state, *worker, run_outcome::stopped, true);
             requestStop(state, worker, run);
             continue;
@@ -307,7 +318,11 @@
             logEvent(log_part::scheduler, "run-copied",
                      {{"run", toText(key)},
                       {"worker", worker->record.life.id},
-                      {"percent", run.percent}});
+                      {"percent", run.percent},
+                      {"age_ms", progress.age.count()},
+                      {"standing_ms", progress.standing.count()},
+                      {"silent_ms", progress.silent.count()},
+                      {"expected_ms", expected.count()}});
         }
     }
 }
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -67,6 +67,19 @@
     return until;
 }
 
+// Counts how long a job has waited for its first task.
+void noteBegin(dispatch_state &state, std::uint64_t job)
+{
+    const auto found = state.jobs.find(job);
+    if (found == state.jobs.end() || found->second.begun) {
+        return;
+    }
+    found->second.begun = true;
+    state.shared.counted
+            .durations("mango_first_start_seconds{queue=\"" + found->second.queue + "\"}")
+            .observe(state.shared.clock.now() - found->second.since);
+}
+
 // Keeps since when a lasting run has been over its bound. Reports are rough: one just below the
 // bound does not end such a time.
 void noteTail(live_run &run, steady_time now)
@@ -309,8 +322,11 @@
     found->second.startDeadline = order.deadline;
     found->second.resumed = !order.checkpoint.empty();
     found->second.orderedAt = state->shared.clock.now();
+    const steady_time ordered = state->shared.clock.now();
     const auto answer =
             co_await state->shared.workers.start(targetOf(*state, *worker), std::move(order));
+    state->shared.counted.durations("mango_start_call_seconds")
+            .observe(state->shared.clock.now() - ordered);
     if (!state->active) {
         co_return;
     }
@@ -327,8 +343,17 @@
         }
         run.seenAt = std::max(run.seenAt, answer.clock.value_or(worker_time(0)));
         ++state->shared.counted.at("mango_runs_started_total");
+        noteBegin(*state, key.task.job);
+        const auto seenAgo = std::chrono::duration_cast<std::chrono::milliseconds>(
+                run.orderedAt - run.placed.heardAt);
         logEvent(log_part::scheduler, "run-started",
-                 {{"run", toText(key)}, {"worker", worker->record.life.id}});
+                 {{"run", toText(key)},
+                  {"worker", worker->record.life.id},
+                  {"why", run.placed.why},
+                  {"candidates", run.placed.candidates},
+                  {"free_milli_cores", run.placed.freeMilliCores},
+                  {"seen_ms_ago", seenAgo.count()},
+                  {"resumed", run.resumed ? "yes" : "no"}});
         co_return;
     }
     logEvent(log_part::scheduler, "start-not-confirmed",
--- /dev/null
+++ b/Source/Gateway/call_patience.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+namespace mango {
+
+// How long one call of a caller is worked at.
+struct call_patience
+{
+    // How long a leader is looked for before the caller is told to come back.
+    std::chrono::milliseconds forLeader{0};
+    // When the caller is answered at the latest, whatever is known by then.
+    std::chrono::milliseconds inAll{0};
+};
+
+// Answers the load of calls during a change of leader: most are served once the next one leads,
+// the others get a truthful answer while their callers still wait for it.
+call_patience patienceFor(std::optional<std::chrono::milliseconds> deadline);
+
+} // namespace mango
--- a/Source/Gateway/gateway_settings.cxx
+++ b/Source/Gateway/gateway_settings.cxx
@@ -17,6 +17,7 @@
     settings.logLevel = reader.text("log_level", "info");
     settings.callers = reader.requiredAddress("callers");
     settings.readiness = reader.requiredAddress("readiness");
+    settings.metrics = reader.address("metrics", {});
     settings.seeds = readSeeds(reader);
     settings.leaveTime = reader.duration("leave_time", settings.leaveTime);
     settings.stopTime = reader.duration("stop_time", settings.stopTime);
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -16,6 +16,8 @@
     host_address callers;
     // For the balancer's readiness checks.
     host_address readiness;
+    // For metrics; without a port they are not served.
+    host_address metrics;
     // Where replicas of the control may be.
     std::vector<host_address> seeds;
     // After a signal to stop: how long new connections are still taken, so that the balancer has
--- a/Source/Gateway/leader_link.h
+++ b/Source/Gateway/leader_link.h
@@ -25,6 +25,15 @@
     void useSeeds(std::vector<host_address> seeds);
     // True when the leader answered a moment ago.
     [[nodiscard]] bool inTouch() const;
+    // Where the leader was last seen; no port when it is not known.
+    [[nodiscard]] const host_address &leader() const
+    {
+        return m_leader;
+    }
+    [[nodiscard]] steady_time now() const
+    {
+        return m_clock.now();
+    }
     // The limits of callers in the configuration that was last seen.
     [[nodiscard]] const caller_limits &limits() const
     {
--- /dev/null
+++ b/Source/Http/metrics_page.cxx
@@ -0,0 +1,46 @@
+#include "Http/metrics_page.h"
+
+#include "Common/event_log.h"
+#include "Common/log.h"
+
+namespace mango {
+
+namespace {
+
+boost::asio::awaitable<http_answer> servePage(counters &counted, http_request request)
+{
+    if (request.method != "GET" || pathOf(request.target) != "/metrics") {
+        co_return http_answer{404, {}, ""};
+    }
+    counted.at("mango_log_lines_left_out_total") = suppressedLogLines();
+    co_return http_answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, counted.text()};
+}
+
+} // namespace
+
+std::unique_ptr<http_server> makeMetricsServer(boost::asio::any_io_executor executor,
+                                               clock_source &clock, counters &counted,
+                                               const host_address &listen)
+{
+    http_server_options options;
+    options.listen = listen;
+    options.label = "metrics";
+    return makeHttpServer(std::move(executor), clock, counted, options,
+                          [&counted](http_request request) {
+                              return servePage(counted, std::move(request));
+                          });
+}
+
+void startMetrics(http_server &server, const host_address &listen)
+{
+    if (listen.port == 0) {
+        return;
+    }
+    const auto started = server.start();
+    if (failed(started)) {
+        logEvent(log_part::wire, "metrics-not-served",
+                 {{"address", toText(listen)}, {"reason", describe(failureOf(started))}});
+    }
+}
+
+} // namespace mango
--- a/Source/Programs/Control/main.cxx
+++ b/Source/Programs/Control/main.cxx
@@ -61,6 +61,7 @@
     context.run();
     // Coroutines that still wait refer to each other's objects; the process ends with all of them.
     std::cout.flush();
+    mango::finishLogging();
     std::quick_exit(status);
 }
 
--- a/Source/Programs/Entry/main.cxx
+++ b/Source/Programs/Entry/main.cxx
@@ -82,6 +82,7 @@
     context.run();
     // Coroutines that still wait refer to each other's objects; the process ends with all of them.
     std::cout.flush();
+    mango::finishLogging();
     std::quick_exit(0);
 }
 
--- a/Source/Programs/Timeline/main.cxx
+++ b/Source/Programs/Timeline/main.cxx
@@ -10,7 +10,7 @@
 int main(int argc, char **argv)
 {
     options::options_description described(
-            "mango_timeline: merges the time lines of all processes into one\n"
+            "mango_timeline: merges the time lines or logs of all processes into one\n"
             "Example: mango_timeline --task 17/0 data/*/timeline.jsonl --draw line.svg");
     described.add_options()("help", "show this text")(
             "task", options::value<std::string>()->default_value(""), "events of this task only")(
@@ -18,7 +18,7 @@
             "host", options::value<std::string>()->default_value(""), "of this host only")(
             "draw", options::value<std::string>(), "also draw them into this SVG file")(
             "files", options::value<std::vector<std::string>>()->default_value({}, ""),
-            "time line files");
+            "time line or log files");
     options::positional_options_description positions;
     positions.add("files", -1);
     options::variables_map given;
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -98,17 +98,18 @@
     return true;
 }
 
-int chooseOffer(const std::vector<worker_offer> &offers, const placement_need &need)
+offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_need &need)
 {
-    int best = -1;
+    offer_choice best;
     std::int64_t bestScore = 0;
     for (std::size_t at = 0; at < offers.size(); ++at) {
         if (!fits(offers[at], need)) {
             continue;
         }
+        ++best.candidates;
         const std::int64_t score = scoreOf(offers[at], need);
-        if (best < 0 || score > bestScore) {
-            best = static_cast<int>(at);
+        if (best.at < 0 || score > bestScore) {
+            best.at = static_cast<int>(at);
             bestScore = score;
         }
     }
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -48,11 +48,20 @@
 // True when the worker has room for one more task of the step and may run it.
 bool fits(const worker_offer &offer, const placement_need &need);
 
-// The best worker for one more task of the step, as an index; -1 when none fits. Answers the load
+// A worker chosen in a round.
+struct offer_choice
+{
+    // Its index; -1 when no worker fits.
+    int at = -1;
+    // The workers that fitted.
+    std::uint32_t candidates = 0;
+};
+
+// The best worker for one more task of the step. Answers the load
 // of many short tasks and tasks that fill gaps beside lasting ones: lasting tasks are spread over
 // the failure domains, and those of one image share workers, so that each image that fills gaps
 // finds workers where it disturbs none; short tasks go beside lasting ones first.
-int chooseOffer(const std::vector<worker_offer> &offers, const placement_need &need);
+offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_need &need);
 
 // The cores that tasks which fill gaps can expect on the worker, in thousandths.
 std::int64_t gapMilliCores(const worker_offer &offer);
--- a/Source/Timeline/timeline_view.cxx
+++ b/Source/Timeline/timeline_view.cxx
@@ -3,12 +3,15 @@
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
+#include <filesystem>
 #include <set>
 #include <sstream>
 
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/json.hpp>
 
+#include "Timeline/log_line.h"
+
 namespace mango {
 
 namespace json = boost::json;
@@ -75,7 +78,12 @@
     }
     std::vector<timeline_event> events;
     std::istringstream lines(valueOf(text));
+    const std::string process = std::filesystem::path(path).stem().string();
     for (std::string line; std::getline(lines, line);) {
+        if (auto logged = readLogLine(line, process)) {
+            events.push_back(std::move(*logged));
+            continue;
+        }
         boost::system::error_code error;
         const json::value value = json::parse(line, error);
         const json::object *object = error ? nullptr : value.if_object();
--- a/Source/Timeline/timeline_view.h
+++ b/Source/Timeline/timeline_view.h
@@ -28,7 +28,8 @@
     std::string host;
 };
 
-// Reads the events of one file; lines that are cut short are left out and counted.
+// Reads the events of one file, a time line or a log; lines that are neither, or that are cut short
+// are left out and counted.
 result<std::vector<timeline_event>, settings_failure> readTimeline(const std::string &path,
                                                                    std::size_t &skipped);
 
--- a/Tests/Unit/scheduling_decisions_test.cxx
+++ b/Tests/Unit/scheduling_decisions_test.cxx
@@ -213,11 +213,11 @@
     step.lasting = true;
     step.room = {5000, 1000, 0};
     placement_need need{&step, &service, &onWorkers, &onDomains, nullptr, &model, 8};
-    EXPECT_EQ(chooseOffer(offers, need), 1);
+    EXPECT_EQ(chooseOffer(offers, need).at, 1);
     need.image = 7;
-    EXPECT_EQ(chooseOffer(offers, need), 0);
+    EXPECT_EQ(chooseOffer(offers, need).at, 0);
     onDomains = {{"a", 1}};
-    EXPECT_EQ(chooseOffer(offers, need), 2);
+    EXPECT_EQ(chooseOffer(offers, need).at, 2);
 }
 
 TEST(run_progress, copiesOrMovesWhatLags)
--- a/Tests/Unit/settings_test.cxx
+++ b/Tests/Unit/settings_test.cxx
@@ -2,6 +2,7 @@
 
 #include "Common/settings.h"
 #include "State/tables.h"
+#include "Timeline/log_line.h"
 #include "Timeline/timeline_view.h"
 
 namespace mango::test {
@@ -64,6 +65,26 @@
     EXPECT_TRUE(poolHolds(row, "sim-12"));
 }
 
+TEST(timeline, readsLogLines)
+{
+    const std::string line = "2026-05-11T00:29:45.250 INFO  [scheduler] event=run-started "
+                             "run=c7846e74.0.0.1/1 worker=i-28f6 why=\"tried before\" free=12";
+    const auto event = readLogLine(line, "core-1");
+    ASSERT_TRUE(event.has_value());
+    EXPECT_EQ(event->event, "run-started");
+    EXPECT_EQ(event->request, "c7846e74");
+    EXPECT_EQ(event->task, "c7846e74.0.0.1/1");
+    EXPECT_EQ(event->host, "i-28f6");
+    EXPECT_EQ(event->process, "core-1");
+    EXPECT_EQ(event->detail, "why=tried before free=12");
+    EXPECT_EQ(event->at % 86'400'000'000, 1'785'250'000U);
+    const auto collected = readLogLine("  -4.5000 edge-2 " + line, "file");
+    ASSERT_TRUE(collected.has_value());
+    EXPECT_EQ(collected->process, "edge-2");
+    EXPECT_EQ(collected->at, 3'595'500'000U);
+    EXPECT_FALSE(readLogLine("nothing of that kind", "core-1").has_value());
+}
+
 TEST(timeline, ordersEventsByTheirStamps)
 {
     const auto ordered = orderedEvents({{30, "b", "later", "1/0", "", "", ""},
