--- a/Source/Scheduling/image_interference.cxx
+++ b/Source/Scheduling/image_interference.cxx
@@ -55,6 +55,7 @@
     load_forecast &load = model.loads.try_emplace(task.job, initialForecast(now)).first->second;
     advanceForecast(load, now);
     std::vector<image_share> shares;
+    shares.reserve(filling.size());
     for (const filling_task &one : filling) {
         shares.push_back({one.image, one.share});
     }
--- a/Source/Scheduling/step_order.h
+++ b/Source/Scheduling/step_order.h
@@ -27,8 +27,8 @@
 // them the shortest go first. Those that earn nothing go last of all, whatever their priority.
 //
 // Answers also a service that lasting tasks fill, with more of them waiting: what becomes free goes
-// to short tasks of the same priority first. They give it back within a second, and the lasting ones
-// take what is left in the same round.
+// to short tasks of the same priority first. They give it back within a second, and the lasting
+// ones take what is left in the same round.
 bool goesFirst(const step_urgency &first, const step_urgency &second, steady_time now);
 
 } // namespace mango
