consensus: Show a vote only once it is agreed on

The status showed the group that was last appended, so that an emptied replica counted as a voter before any other replica knew; who then stops the leader, as the case and an operator do, leaves two replicas of which one still counts itself and the stopped one as the only voters.

Ruled out: slowness under load (an election takes 0.6 to 1.2 s, the case waits 10 s); the change of the log to standard output (the same thread still decides).

Change: the status shows the group as of the last committed entry.

Test: replica.showsAVoteOnlyOnceItCounts, failed before.

--- a/Source/Consensus/replica.cxx
+++ b/Source/Consensus/replica.cxx
@@ -321,6 +321,8 @@
 replica_status replica::status() const
 {
     const member *leader = findMember(m_leader);
+    // Who is told of a vote may stop another voter at once, so that only agreed ones are shown.
+    members agreed = groupAt(m_committed);
     return {m_options.self.name,
             m_options.self.identity,
             m_role,
@@ -330,7 +332,7 @@
             m_applied,
             m_snapshot.index,
             leader == nullptr ? "" : leader->name,
-            m_group};
+            agreed.empty() ? m_group : std::move(agreed)};
 }
 
 std::uint64_t replica::lastIndex() const
--- a/Source/Consensus/replica.h
+++ b/Source/Consensus/replica.h
@@ -76,6 +76,7 @@
     std::uint64_t applied = 0;
     std::uint64_t snapshotIndex = 0;
     std::string leaderName;
+    // As agreed on: a change that is still on its way is not shown.
     members group;
 };
 
--- a/Source/Scheduling/image_interference.cxx
+++ b/Source/Scheduling/image_interference.cxx
@@ -14,6 +14,7 @@
 constexpr double outlierDeviations = 3;
 // The tail of an idle task as a share of its bound. Another figure would only scale utilisations.
 constexpr double idleTail = 0.2;
+// A job that was not heard of for that long is over or has no task at work.
 constexpr auto loadLife = std::chrono::seconds(20);
 // The highest load of an image until a higher one was seen, and how exact a level must be for that.
 constexpr double usualHighestLoad = 0.6;
@@ -40,6 +41,7 @@
 constexpr auto patience = std::chrono::milliseconds(1500);
 // A task that can work at less than that share leaves, in percent.
 constexpr std::uint32_t evictBelow = 25;
+// About what a start elsewhere costs a task that resumes from its progress.
 constexpr auto evictAfter = std::chrono::milliseconds(800);
 
 double utilisationOf(double tail)
--- a/Source/Scheduling/image_interference.h
+++ b/Source/Scheduling/image_interference.h
@@ -19,8 +19,8 @@
 {
     // By serving image.
     std::map<image_id, pressure_estimate> pressure;
-    // By job. All tasks of a lasting step serve the same users, so that their loads rise and fall
-    // together.
+    // By job. All tasks of a lasting job are taken to serve the same users, so that their loads
+    // rise and fall together.
     std::map<std::uint64_t, load_forecast> loads;
     // By serving image: the highest load seen, beyond which no forecast goes.
     std::map<image_id, double> highestLoad;
@@ -86,7 +86,7 @@
     std::chrono::milliseconds lostByStop{0};
 };
 
-// What a pair of images must be reckoned to do; it is higher while little is known of the pair.
+// What a pair of images is taken to do; a guess until the two were seen together.
 double pressureOf(const interference_model &model, image_id serving, image_id filling);
 
 // Learns from one listing of a worker.
--- a/Tests/Unit/replica_test.cxx
+++ b/Tests/Unit/replica_test.cxx
@@ -209,6 +209,34 @@
     EXPECT_EQ(group.version(static_cast<std::size_t>(group.leader())), 4U);
 }
 
+// P10: once the status shows the vote of a repaired replica, the leader may be lost at that moment.
+TEST(replica, showsAVoteOnlyOnceItCounts)
+{
+    replica_group group(3);
+    ASSERT_TRUE(group.put(0));
+    const auto leads = static_cast<std::size_t>(group.leader());
+    group.wipe((leads + 1) % 3);
+    group.restart((leads + 1) % 3);
+    const auto allVote = [&] {
+        const auto members = group.nodes[leads]->agreement->status().group;
+        return std::all_of(members.begin(), members.end(), [](const member &one) {
+            return one.voter;
+        });
+    };
+    // Until the emptied one is taken in, its earlier identity is shown as a voter.
+    for (int wait = 0; wait < 20'000 && allVote(); ++wait) {
+        group.run(milliseconds(1));
+    }
+    for (int wait = 0; wait < 20'000 && !allVote(); ++wait) {
+        group.run(milliseconds(1));
+    }
+    ASSERT_TRUE(allVote());
+    group.wipe(leads);
+    group.run(seconds(10));
+    ASSERT_GE(group.leader(), 0);
+    EXPECT_EQ(group.version(static_cast<std::size_t>(group.leader())), 1U);
+}
+
 // P4, P10: a leader cut off in silence stops counting as one before another can lead.
 TEST(replica, cutOffLeaderLosesItsLeaseFirst)
 {
