--- a/Source/Consensus/replica.cxx
+++ b/Source/Consensus/replica.cxx
@@ -322,7 +322,7 @@
 {
     const member *leader = findMember(m_leader);
     // Who is told of a vote may stop another voter at once, so that only agreed ones are shown.
-    members agreed = groupAt(m_committed);
+    const members agreed = groupAt(m_committed);
     return {m_options.self.name,
             m_options.self.identity,
             m_role,
@@ -332,7 +332,7 @@
             m_applied,
             m_snapshot.index,
             leader == nullptr ? "" : leader->name,
-            agreed.empty() ? m_group : std::move(agreed)};
+            agreed.empty() ? m_group : agreed};
 }
 
 std::uint64_t replica::lastIndex() const
