scheduler: Log and count why tasks wait

No log line or metric told whether workers were excluded, cores or memory were missing, ends were late or rounds long.

task-waits names, for a step that has waited for a second, the number of workers by obstacle, the largest free resources and what the round started before it; it has no correlation id, so the sampling of jobs under load does not hide it. rounds summarises the rounds of each second. Both are bounded.

No decision changes: findObstacle() makes the checks of fits().

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -172,6 +172,8 @@
     std::map<std::string, std::uint32_t> runsPerDomain;
     // Since when some waiting task has found no worker.
     std::optional<steady_time> unplacedSince;
+    // When the log last reported that a task of the step waits.
+    steady_time waitLoggedAt{};
     // Since when the step has had no run although it is ready.
     std::optional<steady_time> idleSince;
     // By task: workers where it failed or stalled or runs slowly, so that it is tried elsewhere.
@@ -198,6 +200,15 @@
     std::uint64_t number = 0;
 };
 
+// The scheduling rounds since the last summary in log and metrics.
+struct round_summary
+{
+    steady_time since{};
+    std::uint32_t rounds = 0;
+    steady_span longest{0};
+    steady_span total{0};
+};
+
 // The leader's state in memory. Each leadership builds it anew from the replicated state and from
 // what workers report.
 struct dispatch_state
@@ -230,6 +241,7 @@
     std::map<std::string, run_times> runTimes;
     steady_time pressuresSavedAt{};
     steady_time stragglersCheckedAt{};
+    round_summary roundSummary;
     // Something has changed since the last scheduling round began.
     bool changed = true;
     wake_event wake;
--- /dev/null
+++ b/Source/Dispatch/round_report.cxx
@@ -0,0 +1,187 @@
+#include "Dispatch/round_report.h"
+
+#include <algorithm>
+#include <array>
+
+#include "Common/event_log.h"
+#include "Common/log.h"
+
+namespace mango {
+
+namespace {
+
+constexpr auto summaryInterval = std::chrono::seconds(1);
+// A step that has waited for less is not reported.
+constexpr auto reportedWait = std::chrono::milliseconds(1000);
+constexpr auto waitReportInterval = std::chrono::seconds(1);
+
+enum task_kind : std::uint8_t { shortTask, bestEffortTask, longRunningTask };
+constexpr std::size_t taskKindCount = 3;
+constexpr std::array<const char *, taskKindCount> kindNames{"short", "best_effort", "long_running"};
+
+task_kind kindOf(const job_step &step)
+{
+    if (step.longRunning) {
+        return longRunningTask;
+    }
+    return step.bestEffort ? bestEffortTask : shortTask;
+}
+
+std::int64_t toMilliseconds(steady_span span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+// The tasks of one kind that found no worker in the last round.
+struct waiting_tasks
+{
+    std::uint64_t count = 0;
+    steady_span longest{0};
+};
+
+std::array<waiting_tasks, taskKindCount> countWaiting(const dispatch_state &state, steady_time now)
+{
+    std::array<waiting_tasks, taskKindCount> waiting;
+    const auto &jobs = state.context.machine.state().jobs;
+    for (const auto &[number, job] : state.jobs) {
+        const auto committed = jobs.find(number);
+        if (committed == jobs.end()) {
+            continue;
+        }
+        for (const auto &[at, steps] : job.occurrences) {
+            for (std::size_t step = 0; step < steps.size(); ++step) {
+                if (!steps[step].unplacedSince) {
+                    continue;
+                }
+                waiting_tasks &kind = waiting[kindOf(committed->second.graph.steps[step])];
+                kind.count += steps[step].waiting.size();
+                kind.longest = std::max(kind.longest, now - *steps[step].unplacedSince);
+            }
+        }
+    }
+    return waiting;
+}
+
+struct unsettled_runs
+{
+    std::uint64_t endPending = 0;
+    std::uint64_t unconfirmed = 0;
+    std::uint64_t stopping = 0;
+};
+
+unsettled_runs countUnsettled(const dispatch_state &state)
+{
+    unsettled_runs counts;
+    for (const auto &[incarnation, worker] : state.workers) {
+        for (const auto &[key, run] : worker->runs) {
+            counts.endPending += run.endPending ? 1 : 0;
+            counts.unconfirmed += run.phase == run_phase::unconfirmed ? 1 : 0;
+            counts.stopping += run.stopRequested && !run.endPending ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
+void exportSummary(metrics_registry &metrics, const round_offers &round,
+                   const std::array<waiting_tasks, taskKindCount> &waiting,
+                   const unsettled_runs &unsettled)
+{
+    metrics.at("mango_workers_considered") = round.offers.size();
+    const auto exportExcluded = [&metrics](const char *reason, std::uint32_t count) {
+        metrics.at(std::string("mango_workers_excluded{reason=\"") + reason + "\"}") = count;
+    };
+    exportExcluded("gone", round.excluded.gone);
+    exportExcluded("draining", round.excluded.draining);
+    exportExcluded("domain-out", round.excluded.domainOutOfService);
+    exportExcluded("unanswered", round.excluded.unanswered);
+    exportExcluded("silent", round.excluded.silent);
+    exportExcluded("refusing", round.excluded.refusing);
+    for (std::size_t kind = 0; kind < taskKindCount; ++kind) {
+        const std::string label = std::string("{kind=\"") + kindNames[kind] + "\"}";
+        metrics.at("mango_tasks_unplaced" + label) = waiting[kind].count;
+        metrics.at("mango_longest_wait_milliseconds" + label) =
+                static_cast<std::uint64_t>(toMilliseconds(waiting[kind].longest));
+    }
+    metrics.at("mango_runs_end_pending") = unsettled.endPending;
+    metrics.at("mango_runs_unconfirmed") = unsettled.unconfirmed;
+    metrics.at("mango_runs_stopping") = unsettled.stopping;
+}
+
+} // namespace
+
+void recordUnplaced(const dispatch_state &state, const round_offers &round, const ready_step &ready,
+                    const placement_request &request, const offer_choice &choice,
+                    std::size_t startedBefore)
+{
+    const steady_time now = state.context.clock.now();
+    tracked_step &step = *ready.tracked;
+    if (!step.unplacedSince || now - *step.unplacedSince < reportedWait
+        || now - step.waitLoggedAt < waitReportInterval) {
+        return;
+    }
+    step.waitLoggedAt = now;
+    std::int64_t mostCores = 0;
+    std::int64_t mostMemory = 0;
+    for (const worker_offer &offer : round.offers) {
+        const resource_amounts &capacity = offer.record->capacity;
+        mostCores = std::max(mostCores, request.step->bestEffort ? reclaimableMilliCores(offer)
+                                                                 : std::int64_t(capacity.milliCores)
+                                                                           - offer.used.milliCores);
+        mostMemory = std::max(mostMemory, std::int64_t(capacity.memoryMb) - offer.used.memoryMb);
+    }
+    std::string obstacles;
+    for (std::size_t at = 0; at < choice.obstacles.size(); ++at) {
+        if (choice.obstacles[at] > 0) {
+            obstacles += (obstacles.empty() ? "" : ",")
+                         + std::string(toText(static_cast<placement_obstacle>(at))) + ":"
+                         + std::to_string(choice.obstacles[at]);
+        }
+    }
+    logEvent(log_part::scheduler, "task-waits",
+             {{"step", formatJobId(ready.job) + "." + std::to_string(ready.occurrence) + "."
+                               + std::to_string(ready.step)},
+              {"kind", kindNames[kindOf(*request.step)]},
+              {"waiting", step.waiting.size()},
+              {"waited_ms", toMilliseconds(now - *step.unplacedSince)},
+              {"milli_cores", request.step->resources.milliCores},
+              {"memory_mb", request.step->resources.memoryMb},
+              {"workers", round.offers.size()},
+              {"obstacles", obstacles},
+              {"most_free_milli_cores", mostCores},
+              {"most_free_memory_mb", mostMemory},
+              {"started_before", startedBefore}});
+}
+
+void recordRound(dispatch_state &state, const round_offers &round, steady_time begin)
+{
+    const steady_time now = state.context.clock.now();
+    round_summary &summary = state.roundSummary;
+    ++summary.rounds;
+    summary.total += now - begin;
+    summary.longest = std::max(summary.longest, now - begin);
+    state.context.metricsRegistry.histogram("mango_round_seconds").observe(now - begin);
+    if (now - summary.since < summaryInterval) {
+        return;
+    }
+    const auto waiting = countWaiting(state, now);
+    const unsettled_runs unsettled = countUnsettled(state);
+    exportSummary(state.context.metricsRegistry, round, waiting, unsettled);
+    logEvent(log_part::scheduler, "rounds",
+             {{"rounds", summary.rounds},
+              {"total_ms", toMilliseconds(summary.total)},
+              {"longest_ms", toMilliseconds(summary.longest)},
+              {"workers", round.offers.size()},
+              {"draining", round.excluded.draining},
+              {"silent", round.excluded.silent},
+              {"refusing", round.excluded.refusing},
+              {"unplaced_short", waiting[shortTask].count},
+              {"unplaced_best_effort", waiting[bestEffortTask].count},
+              {"unplaced_long_running", waiting[longRunningTask].count},
+              {"longest_wait_ms", toMilliseconds(waiting[longRunningTask].longest)},
+              {"ends_pending", unsettled.endPending},
+              {"unconfirmed", unsettled.unconfirmed},
+              {"stopping", unsettled.stopping}});
+    summary = {now};
+}
+
+} // namespace mango
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -5,6 +5,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
+#include "Dispatch/round_report.h"
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/task_placement.h"
 
@@ -162,6 +163,7 @@
             co_await state->context.clock.sleepFor(batchingDelay * 5);
             continue;
         }
+        const steady_time roundBegin = state->context.clock.now();
         state->changed = false;
         expireSilentWorkers(state);
         commitPendingEnds(state);
@@ -172,6 +174,7 @@
             placeStep(state, round, ready, started);
         }
         handleStragglers(state, round, started);
+        recordRound(*state, round, roundBegin);
         if (!started.runs.empty()) {
             asio::co_spawn(state->context.executor, commitCommand(state, std::move(started)),
                            asio::detached);
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -1,5 +1,6 @@
 #include "Dispatch/task_placement.h"
 
+#include "Dispatch/round_report.h"
 #include "Dispatch/run_throttling.h"
 
 namespace mango {
@@ -73,11 +74,28 @@
     const steady_time now = state.context.clock.now();
     const auto &domainsOutOfService = state.context.machine.state().domainsOutOfService;
     for (const auto &[incarnation, worker] : state.workers) {
-        const bool usable = worker->current && !worker->exited && worker->answered
-                            && !worker->record.draining && now >= worker->refusesUntil
-                            && now - worker->heardAt < state.context.timing.silentAfter
-                            && !domainsOutOfService.contains(worker->record.failureDomain);
-        if (!usable) {
+        if (!worker->current || worker->exited) {
+            ++round.excluded.gone;
+            continue;
+        }
+        if (worker->record.draining) {
+            ++round.excluded.draining;
+            continue;
+        }
+        if (domainsOutOfService.contains(worker->record.failureDomain)) {
+            ++round.excluded.domainOutOfService;
+            continue;
+        }
+        if (!worker->answered) {
+            ++round.excluded.unanswered;
+            continue;
+        }
+        if (now - worker->heardAt >= state.context.timing.silentAfter) {
+            ++round.excluded.silent;
+            continue;
+        }
+        if (now < worker->refusesUntil) {
+            ++round.excluded.refusing;
             continue;
         }
         colocated_tasks tasks = colocatedTasksOf(*worker, now);
@@ -126,6 +144,7 @@
         chosen = chooseOffer(round.offers, request);
     }
     if (chosen.index < 0) {
+        recordUnplaced(*state, round, ready, request, chosen, started.runs.size());
         return false;
     }
     worker_offer &offer = round.offers[static_cast<std::size_t>(chosen.index)];
--- a/Source/Dispatch/task_placement.h
+++ b/Source/Dispatch/task_placement.h
@@ -16,6 +16,20 @@
     step_urgency urgency;
 };
 
+// The number of workers that get no new work, by the first reason that applies.
+struct excluded_workers
+{
+    // The process has ended or was replaced.
+    std::uint32_t gone = 0;
+    std::uint32_t draining = 0;
+    std::uint32_t domainOutOfService = 0;
+    // Not heard by this leader yet.
+    std::uint32_t unanswered = 0;
+    std::uint32_t silent = 0;
+    // Refused a request or could not be reached a short time ago.
+    std::uint32_t refusing = 0;
+};
+
 // The workers that may get tasks in one scheduling round.
 struct round_offers
 {
@@ -24,6 +38,7 @@
     std::vector<worker_offer> offers;
     // In the order of the offers.
     std::vector<tracked_worker_handle> workers;
+    excluded_workers excluded;
 };
 
 // Collects the workers that may get new work now, with their used resources.
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -69,36 +69,80 @@
 
 } // namespace
 
-bool fits(const worker_offer &offer, const placement_request &request)
+const char *toText(placement_obstacle obstacle)
+{
+    switch (obstacle) {
+    case placement_obstacle::none:
+        return "none";
+    case placement_obstacle::service:
+        return "service";
+    case placement_obstacle::label:
+        return "label";
+    case placement_obstacle::backoff:
+        return "backoff";
+    case placement_obstacle::triedBefore:
+        return "tried-before";
+    case placement_obstacle::perWorkerLimit:
+        return "per-worker-limit";
+    case placement_obstacle::cores:
+        return "cores";
+    case placement_obstacle::memory:
+        return "memory";
+    case placement_obstacle::coresAndMemory:
+        return "cores-and-memory";
+    case placement_obstacle::interference:
+        return "interference";
+    }
+    return "unknown";
+}
+
+placement_obstacle findObstacle(const worker_offer &offer, const placement_request &request)
 {
     const worker_record &record = *offer.record;
     const job_step &step = *request.step;
-    if ((offer.inBackoff && !request.starved) || record.service != *request.service
-        || (!step.requiredLabel.empty() && !record.hasLabel(step.requiredLabel))) {
-        return false;
+    if (record.service != *request.service) {
+        return placement_obstacle::service;
     }
-    if (offer.used.memoryMb + step.resources.memoryMb > record.capacity.memoryMb
-        || offer.used.accelerators + step.resources.accelerators > record.capacity.accelerators) {
-        return false;
+    if (!step.requiredLabel.empty() && !record.hasLabel(step.requiredLabel)) {
+        return placement_obstacle::label;
     }
-    if (step.bestEffort) {
-        if (reclaimableMilliCores(offer) < std::int64_t(step.resources.milliCores)
-            || (!request.starved
-                && !canColocate(*request.interference, offer.latencyCritical, request.image,
-                                shareOf(offer, step)))) {
-            return false;
+    if (offer.inBackoff && !request.starved) {
+        return placement_obstacle::backoff;
+    }
+    const std::int64_t freeCores =
+            step.bestEffort ? reclaimableMilliCores(offer)
+                            : std::int64_t(record.capacity.milliCores) - offer.used.milliCores;
+    const bool enoughCores = std::int64_t(step.resources.milliCores) <= freeCores;
+    const bool enoughMemory =
+            offer.used.memoryMb + step.resources.memoryMb <= record.capacity.memoryMb
+            && offer.used.accelerators + step.resources.accelerators
+                       <= record.capacity.accelerators;
+    if (!enoughCores || !enoughMemory) {
+        if (enoughMemory) {
+            return placement_obstacle::cores;
         }
-    } else if (offer.used.milliCores + step.resources.milliCores > record.capacity.milliCores) {
-        return false;
+        return enoughCores ? placement_obstacle::memory : placement_obstacle::coresAndMemory;
+    }
+    if (step.bestEffort && !request.starved
+        && !canColocate(*request.interference, offer.latencyCritical, request.image,
+                        shareOf(offer, step))) {
+        return placement_obstacle::interference;
     }
     if (request.avoidedWorkers != nullptr && request.avoidedWorkers->contains(record.incarnation)) {
-        return false;
+        return placement_obstacle::triedBefore;
     }
     if (step.perWorkerLimit > 0) {
         const auto found = request.runsPerWorker->find(record.incarnation);
-        return found == request.runsPerWorker->end() || found->second < step.perWorkerLimit;
+        if (found != request.runsPerWorker->end() && found->second >= step.perWorkerLimit) {
+            return placement_obstacle::perWorkerLimit;
+        }
     }
-    return true;
+    return placement_obstacle::none;
+}
+
+bool fits(const worker_offer &offer, const placement_request &request)
+{
+    return findObstacle(offer, request) == placement_obstacle::none;
 }
 
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request)
@@ -106,7 +150,9 @@
     offer_choice best;
     std::int64_t bestScore = 0;
     for (std::size_t at = 0; at < offers.size(); ++at) {
-        if (!fits(offers[at], request)) {
+        const placement_obstacle obstacle = findObstacle(offers[at], request);
+        if (obstacle != placement_obstacle::none) {
+            ++best.obstacles[static_cast<std::size_t>(obstacle)];
             continue;
         }
         ++best.candidates;
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <set>
@@ -48,6 +50,30 @@
     bool starved = false;
 };
 
+// Why a worker cannot run one more task of a step.
+enum class placement_obstacle : std::uint8_t {
+    none,
+    service,
+    label,
+    backoff,
+    // The free cores, the free memory or accelerators, or both do not suffice.
+    cores,
+    memory,
+    coresAndMemory,
+    // A best-effort task would push a latency-critical task over its bound.
+    interference,
+    triedBefore,
+    perWorkerLimit
+};
+inline constexpr std::size_t placementObstacleCount = 10;
+
+// Returns the name of the obstacle for logs and metrics.
+const char *toText(placement_obstacle obstacle);
+
+// Returns the first obstacle, in the order of the enumeration, to one more task of the step on the
+// worker.
+placement_obstacle findObstacle(const worker_offer &offer, const placement_request &request);
+
 // Returns true when the worker has enough free resources for one more task of the step and meets
 // its constraints.
 bool fits(const worker_offer &offer, const placement_request &request);
@@ -59,6 +85,8 @@
     int index = -1;
     // The number of workers that fit.
     std::uint32_t candidates = 0;
+    // The number of workers by obstacle.
+    std::array<std::uint32_t, placementObstacleCount> obstacles{};
 };
 
 // Returns the best offer for one more task of the step. The policy is made for a mix of many short
