tests: Reproduce a long-running task that a backlog of short tasks keeps from its restart

The test fails on the present code: with short tasks of 4 cores waiting all the time, each bit of room that gets free goes to one of them, and a long-running task of 9 cores is not started again within 9 s (1 start instead of 2).

--- a/Tests/Unit/dispatch_test.cxx
+++ b/Tests/Unit/dispatch_test.cxx
@@ -60,6 +60,49 @@
     std::string other;
 };
 
+// Two workers with 12 free cores each beside a long-running task, which short tasks of 4 cores
+// compete for, and a third one that a long-running task of 9 cores has for itself.
+struct crowded_fleet : small_fleet
+{
+    static constexpr std::uint64_t largeJob = 6;
+
+    crowded_fleet()
+    {
+        workers.add("w3", 9'000);
+        announce("w3");
+        run(milliseconds(200));
+        workers.runDuration = seconds(600);
+        job_graph graph = oneStep(2, 20'000);
+        graph.steps[0].longRunning = true;
+        submit(5, graph);
+        graph = oneStep(1, 9'000);
+        graph.steps[0].longRunning = true;
+        submit(largeJob, graph);
+        for (int round = -20; round < 0; ++round) {
+            submitShortJob(round);
+            run(milliseconds(100));
+        }
+    }
+
+    // Submits short tasks of different durations, in all more than the free cores can serve.
+    void submitShortJob(int round)
+    {
+        workers.runDuration = milliseconds(400 + (round + 20) * 70 % 400);
+        job_graph graph = oneStep(1, 4'000);
+        graph.steps[0].estimate = workers.runDuration;
+        submit(static_cast<std::uint64_t>(round + 100), graph);
+        submit(static_cast<std::uint64_t>(round + 300), graph);
+    }
+
+    // Replaces the third worker by a small one, with which its run ends.
+    void removeLargeWorker()
+    {
+        workers.add("w3", 1'000);
+        announce("w3");
+        run(milliseconds(50));
+    }
+};
+
 } // namespace
 
 TEST(dispatch, runsAJobToItsEnd)
@@ -410,6 +453,22 @@
 }
 
 // All members of a gang start together in one run, or none does.
+// LOST: a worker leaves, and a steady backlog of short tasks takes each bit of room that gets free
+// on the others, so that its long-running task never finds all of its cores at once.
+TEST(dispatch, restartsALongRunningTaskDespiteABacklogOfSmallerTasks)
+{
+    crowded_fleet group;
+    group.removeLargeWorker();
+    const steady_time lostAt = group.clock.now();
+    for (int round = 0; round < 90 && countStarts(group, crowded_fleet::largeJob) < 2; ++round) {
+        group.submitShortJob(round);
+        group.run(milliseconds(100));
+    }
+    ASSERT_EQ(countStarts(group, crowded_fleet::largeJob), 2U);
+    // From 6 s after its last run on, the platform expects a long-running task to run.
+    EXPECT_LT(group.workers.starts.back().at - lostAt, seconds(6));
+}
+
 TEST(dispatch, startsAGangAsAWhole)
 {
     small_fleet group;
