scheduler: Place restarts of long-running tasks first and hold room for them

Cause: each round gave free room to short tasks first, then to long-running tasks, and kept nothing for a task that did not fit. While short tasks wait, room is used up in pieces as large as the smallest of them, so a task that needs more at once never fits. The order was meant for long-running tasks that have not run yet, and also held for those that had. The workers do have room in between: at the limit of the leader's processor a start takes about 100 ms from decision to worker.

Change: the waiting tasks of a long-running step that had a run before are placed apart from the others, before short tasks of their priority; after 1.5 s before all priorities. For one that fits nowhere the round holds its resources on the worker that will soonest have them, which is one where long-running tasks alone leave room, so what ends there is not given away. First runs of long-running tasks keep their place after short tasks: a service that is full of them must still serve short ones.

--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -102,6 +102,7 @@
         metrics.at("mango_longest_wait_milliseconds" + label) =
                 static_cast<std::uint64_t>(toMilliseconds(waiting[kind].longest));
     }
+    metrics.at("mango_tasks_held_room") = round.held;
     metrics.at("mango_runs_end_pending") = unsettled.endPending;
     metrics.at("mango_runs_unconfirmed") = unsettled.unconfirmed;
     metrics.at("mango_runs_stopping") = unsettled.stopping;
@@ -177,6 +178,7 @@
               {"unplaced_short", waiting[shortTask].count},
               {"unplaced_best_effort", waiting[bestEffortTask].count},
               {"unplaced_long_running", waiting[longRunningTask].count},
+              {"held", round.held},
               {"longest_wait_ms", toMilliseconds(waiting[longRunningTask].longest)},
               {"ends_pending", unsettled.endPending},
               {"unconfirmed", unsettled.unconfirmed},
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -23,6 +23,9 @@
 constexpr auto pressureSaveInterval = std::chrono::seconds(3);
 // A job that takes longer than its objective times this factor has no value any more.
 constexpr int noValueFactor = 3;
+// A restart of a long-running task that has waited for longer goes before queues of all priorities.
+constexpr auto restartOverdueAfter = std::chrono::milliseconds(1500);
+constexpr std::uint32_t highestPriority = 0;
 
 bool dependenciesMet(const job_step &step, const std::vector<tracked_step> &steps)
 {
@@ -41,9 +44,31 @@
     return wall >= due;
 }
 
+// Adds a long-running step, with its restarts apart from the tasks that have not run yet.
+void appendLongRunning(std::vector<ready_step> &ready, ready_step step, steady_time now)
+{
+    const auto &tasks = step.committedJob->occurrences.at(step.occurrence).steps[step.step];
+    const std::vector<std::uint32_t> &waiting = step.tracked->waiting;
+    const auto restarts = std::count_if(waiting.begin(), waiting.end(), [&](std::uint32_t index) {
+        return isRestart(tasks[index]);
+    });
+    if (restarts < static_cast<std::ptrdiff_t>(waiting.size())) {
+        ready.push_back(step);
+    }
+    if (restarts > 0) {
+        step.urgency.isRestart = true;
+        const auto &unplacedSince = step.tracked->unplacedSince;
+        if (unplacedSince && now - *unplacedSince > restartOverdueAfter) {
+            step.urgency.priority = highestPriority;
+        }
+        ready.push_back(step);
+    }
+}
+
 std::vector<ready_step> collectReadySteps(dispatch_state &state)
 {
     std::vector<ready_step> ready;
+    const steady_time now = state.context.clock.now();
     const auto &committed = state.context.machine.state().jobs;
     for (auto &[number, job] : state.jobs) {
         const auto found = committed.find(number);
@@ -63,11 +88,15 @@
                         found->second.queueParameters.priority, graph.steps[step].longRunning,
                         job.knownSince + objective, job.knownSince + objective * noValueFactor,
                         expectedCriticalPath(seen, graph, step)};
-                ready.push_back({number, at, step, &found->second, &steps[step], urgency});
+                const ready_step one{number, at, step, &found->second, &steps[step], urgency};
+                if (!urgency.longRunning || graph.steps[step].gang) {
+                    ready.push_back(one);
+                } else {
+                    appendLongRunning(ready, one, now);
+                }
             }
         }
     }
-    const steady_time now = state.context.clock.now();
     std::sort(ready.begin(), ready.end(), [now](const ready_step &one, const ready_step &other) {
         return precedes(one.urgency, other.urgency, now);
     });
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -27,6 +27,40 @@
     return round.mostlyIdle && now - *step.idleSince > starvationThreshold;
 }
 
+placement_request makeRequest(dispatch_state &state, const ready_step &ready, std::uint32_t index)
+{
+    const job_step &step = ready.committedJob->graph.steps[ready.step];
+    const auto avoidedWorkers = ready.tracked->avoidedWorkers.find(index);
+    return {&step,
+            &ready.committedJob->queueParameters.service,
+            &ready.tracked->runsPerWorker,
+            &ready.tracked->runsPerDomain,
+            avoidedWorkers == ready.tracked->avoidedWorkers.end() ? nullptr
+                                                                  : &avoidedWorkers->second,
+            &state.interference,
+            imageId(state.interference, step.image)};
+}
+
+// Keeps the resources of a long-running task from all that is placed later in the round, on the
+// worker that will soonest have them; false when there is none. Each round chooses anew, but a
+// worker whose resources were held has more of them free in the next one.
+bool holdRoom(const dispatch_handle &state, round_offers &round, const ready_step &ready,
+              std::uint32_t index)
+{
+    placement_request request = makeRequest(*state, ready, index);
+    int chosen = chooseOfferToHold(round.offers, request);
+    if (chosen < 0 && request.avoidedWorkers != nullptr) {
+        request.avoidedWorkers = nullptr;
+        chosen = chooseOfferToHold(round.offers, request);
+    }
+    if (chosen < 0) {
+        return false;
+    }
+    reserveResources(round.offers[static_cast<std::size_t>(chosen)], request);
+    ++round.held;
+    return true;
+}
+
 // Places all members of a gang, or none.
 void placeGang(const dispatch_handle &state, round_offers &round, const ready_step &ready,
                begin_runs &started)
@@ -68,6 +102,11 @@
 
 } // namespace
 
+bool isRestart(const task_state &task)
+{
+    return task.lastRun > 0;
+}
+
 round_offers collectOffers(const dispatch_state &state)
 {
     round_offers round;
@@ -102,8 +141,9 @@
         predictLoads(state.interference, tasks.latencyCritical, tasks.bestEffort, now,
                      placementHorizon);
         round.offers.push_back({&worker->record, worker->used, worker->longRunningMilliCores,
-                                worker->longRunningImages, worker->bestEffortMilliCores,
-                                std::move(tasks.latencyCritical), now < worker->backoffUntil});
+                                worker->longRunningMemoryMb, worker->longRunningImages,
+                                worker->bestEffortMilliCores, std::move(tasks.latencyCritical),
+                                now < worker->backoffUntil});
         round.workers.push_back(worker);
     }
     std::uint64_t used = 0;
@@ -120,16 +160,7 @@
                std::uint32_t index, std::uint32_t run, begin_runs &started)
 {
     const job_step &step = ready.committedJob->graph.steps[ready.step];
-    const auto avoidedWorkers = ready.tracked->avoidedWorkers.find(index);
-    placement_request request{&step,
-                              &ready.committedJob->queueParameters.service,
-                              &ready.tracked->runsPerWorker,
-                              &ready.tracked->runsPerDomain,
-                              avoidedWorkers == ready.tracked->avoidedWorkers.end()
-                                      ? nullptr
-                                      : &avoidedWorkers->second,
-                              &state->interference,
-                              imageId(state->interference, step.image)};
+    placement_request request = makeRequest(*state, ready, index);
     offer_choice chosen = chooseOffer(round.offers, request);
     const char *reason = "fits";
     if (chosen.index < 0
@@ -169,18 +200,31 @@
     }
     const auto &tasks = ready.committedJob->occurrences.at(ready.occurrence).steps[ready.step];
     std::vector<std::uint32_t> &waiting = ready.tracked->waiting;
-    while (!waiting.empty()) {
-        const std::uint32_t index = waiting.back();
-        if (!tasks[index].done
-            && !placeTask(state, round, ready, index, tasks[index].lastRun + 1, started)) {
-            if (!ready.tracked->unplacedSince) {
-                ready.tracked->unplacedSince = state->context.clock.now();
+    bool someUnplaced = false;
+    for (std::size_t at = waiting.size(); at-- > 0;) {
+        const std::uint32_t index = waiting[at];
+        const task_state &task = tasks[index];
+        if (!task.done) {
+            if (ready.urgency.longRunning && isRestart(task) != ready.urgency.isRestart) {
+                continue;
+            }
+            // All tasks of a step need the same resources.
+            if (someUnplaced || !placeTask(state, round, ready, index, task.lastRun + 1, started)) {
+                someUnplaced = true;
+                if (!ready.urgency.isRestart || !holdRoom(state, round, ready, index)) {
+                    break;
+                }
+                continue;
             }
-            return;
         }
-        waiting.pop_back();
+        waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    if (someUnplaced && !ready.tracked->unplacedSince) {
+        ready.tracked->unplacedSince = state->context.clock.now();
+    }
+    if (waiting.empty()) {
+        ready.tracked->unplacedSince.reset();
     }
-    ready.tracked->unplacedSince.reset();
 }
 
 } // namespace mango
--- a/Source/Dispatch/task_placement.h
+++ b/Source/Dispatch/task_placement.h
@@ -39,8 +39,13 @@
     // In the order of the offers.
     std::vector<tracked_worker_handle> workers;
     excluded_workers excluded;
+    // The number of long-running tasks for which room is held.
+    std::uint32_t held = 0;
 };
 
+// Returns true when the task had a run before.
+bool isRestart(const task_state &task);
+
 // Collects the workers that may get new work now, with their used resources.
 round_offers collectOffers(const dispatch_state &state);
 
@@ -50,7 +55,8 @@
                std::uint32_t index, std::uint32_t run, begin_runs &started);
 
 // Places as many of the step's waiting tasks as free resources allow; a gang as a whole or not at
-// all.
+// all. Of a long-running step it places either the restarts or the others. For restarts that fit
+// nowhere it holds room on a worker for the rest of the round.
 void placeStep(const dispatch_handle &state, round_offers &round, const ready_step &ready,
                begin_runs &started);
 
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -1,6 +1,7 @@
 #include "Scheduling/run_placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mango {
 
@@ -96,7 +97,11 @@
     return "unknown";
 }
 
-placement_obstacle findObstacle(const worker_offer &offer, const placement_request &request)
+namespace {
+
+// Returns the first obstacle beside tasks that use the given resources.
+placement_obstacle findObstacleBeside(const resource_amounts &used, const worker_offer &offer,
+                                      const placement_request &request)
 {
     const worker_record &record = *offer.record;
     const job_step &step = *request.step;
@@ -111,12 +116,11 @@
     }
     const std::int64_t freeCores =
             step.bestEffort ? reclaimableMilliCores(offer)
-                            : std::int64_t(record.capacity.milliCores) - offer.used.milliCores;
+                            : std::int64_t(record.capacity.milliCores) - used.milliCores;
     const bool enoughCores = std::int64_t(step.resources.milliCores) <= freeCores;
     const bool enoughMemory =
-            offer.used.memoryMb + step.resources.memoryMb <= record.capacity.memoryMb
-            && offer.used.accelerators + step.resources.accelerators
-                       <= record.capacity.accelerators;
+            used.memoryMb + step.resources.memoryMb <= record.capacity.memoryMb
+            && used.accelerators + step.resources.accelerators <= record.capacity.accelerators;
     if (!enoughCores || !enoughMemory) {
         if (enoughMemory) {
             return placement_obstacle::cores;
@@ -140,6 +144,13 @@
     return placement_obstacle::none;
 }
 
+} // namespace
+
+placement_obstacle findObstacle(const worker_offer &offer, const placement_request &request)
+{
+    return findObstacleBeside(offer.used, offer, request);
+}
+
 bool fits(const worker_offer &offer, const placement_request &request)
 {
     return findObstacle(offer, request) == placement_obstacle::none;
@@ -165,6 +176,31 @@
     return best;
 }
 
+int chooseOfferToHold(const std::vector<worker_offer> &offers, const placement_request &request)
+{
+    int best = -1;
+    std::pair<bool, std::int64_t> bestRank;
+    for (std::size_t at = 0; at < offers.size(); ++at) {
+        const worker_offer &offer = offers[at];
+        const resource_amounts remaining{offer.longRunningMilliCores, offer.longRunningMemoryMb,
+                                         offer.used.accelerators};
+        if (findObstacleBeside(remaining, offer, request) != placement_obstacle::none) {
+            continue;
+        }
+        const resource_amounts &capacity = offer.record->capacity;
+        // Best-effort tasks hold memory and may be throttled, so that it is free later than cores.
+        const bool lacksMemory =
+                offer.used.memoryMb + request.step->resources.memoryMb > capacity.memoryMb;
+        const auto freeCores = std::int64_t(capacity.milliCores) - offer.used.milliCores;
+        const std::pair<bool, std::int64_t> rank{!lacksMemory, freeCores};
+        if (best < 0 || rank > bestRank) {
+            best = static_cast<int>(at);
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
 std::int64_t reclaimableMilliCores(const worker_offer &offer)
 {
     const std::int64_t shortMilliCores =
@@ -199,6 +235,7 @@
     offer.used.milliCores += step.resources.milliCores;
     if (step.longRunning) {
         offer.longRunningMilliCores += step.resources.milliCores;
+        offer.longRunningMemoryMb += step.resources.memoryMb;
         ++offer.longRunningImages[request.image];
     }
 }
--- a/Source/Scheduling/step_order.cxx
+++ b/Source/Scheduling/step_order.cxx
@@ -10,6 +10,17 @@
 // took this percentage of its estimate.
 constexpr int optimisticEstimatePercent = 70;
 
+// The place of a step among those of its priority.
+enum class step_class : std::uint8_t { restart, shortTasks, longRunning };
+
+step_class classOf(const step_urgency &step)
+{
+    if (!step.longRunning) {
+        return step_class::shortTasks;
+    }
+    return step.isRestart ? step_class::restart : step_class::longRunning;
+}
+
 // Returns 0 for a step that can be in time, 1 for one that will be late, 2 for one that will
 // expire.
 int lateness(const step_urgency &step, steady_time now)
@@ -33,7 +44,7 @@
         const steady_span sortKey =
                 late == 0 ? step.deadline - step.remainingCriticalPath - steady_time{}
                           : steady_span(step.remainingCriticalPath);
-        return std::make_tuple(late == 2, step.priority, step.longRunning, late, sortKey);
+        return std::make_tuple(late == 2, step.priority, classOf(step), late, sortKey);
     };
     return rank(first) < rank(second);
 }
--- a/Source/Scheduling/step_order.h
+++ b/Source/Scheduling/step_order.h
@@ -19,6 +19,8 @@
     steady_time expiresAt{};
     // The expected time of the remaining critical path, this step included.
     std::chrono::milliseconds remainingCriticalPath{0};
+    // The waiting tasks are long-running and had a run before, which ended.
+    bool isRestart = false;
 };
 
 // Returns true when the first step is placed before the second. Handles a burst on several queues:
@@ -28,7 +30,9 @@
 //
 // Also handles a service that is full of long-running tasks while more of them wait: free resources
 // go first to short tasks of the same priority. These release them within a second, and the
-// long-running tasks get the rest in the same round.
+// long-running tasks get the rest in the same round. That holds for the first runs of long-running
+// tasks. Their restarts go before short tasks, as they were admitted before and a backlog of short
+// tasks could keep them waiting for as long as it lasts.
 bool precedes(const step_urgency &first, const step_urgency &second, steady_time now);
 
 } // namespace mango
--- a/Tests/Unit/dispatch_test.cxx
+++ b/Tests/Unit/dispatch_test.cxx
@@ -66,8 +66,14 @@
 {
     static constexpr std::uint64_t largeJob = 6;
 
-    crowded_fleet()
+    explicit crowded_fleet(const std::string &largeQueue = "/price/")
     {
+        fleet_configuration twoQueues = configuration(2);
+        twoQueues.routes.push_back(twoQueues.routes[0]);
+        twoQueues.routes[1].name = "bulk";
+        twoQueues.routes[1].pathPrefix = "/bulk/";
+        twoQueues.routes[1].priority = 2;
+        call(configure_call{twoQueues});
         workers.add("w3", 9'000);
         announce("w3");
         run(milliseconds(200));
@@ -78,7 +84,7 @@
         graph = oneStep(1, 9'000);
         graph.steps[0].longRunning = true;
         graph.steps[0].image = "large";
-        submit(largeJob, graph);
+        call(submit_call{"h.example", largeQueue + formatJobId(largeJob), graph});
         run(milliseconds(300));
         for (int round = -20; round < 0; ++round) {
             submitShortJob(round);
@@ -103,6 +109,19 @@
         announce("w3");
         run(milliseconds(50));
     }
+
+    // Goes on with short jobs until the large task has started again.
+    void expectRestartOfLargeTask()
+    {
+        const steady_time lostAt = clock.now();
+        for (int round = 0; round < 90 && countStarts(*this, largeJob) < 2; ++round) {
+            submitShortJob(round);
+            run(milliseconds(100));
+        }
+        ASSERT_GE(countStarts(*this, largeJob), 2U);
+        // From 6 s after its last run on, the platform expects a long-running task to run.
+        EXPECT_LT(clock.now() - lostAt, seconds(6));
+    }
 };
 
 } // namespace
@@ -463,14 +482,17 @@
     ASSERT_EQ(countStarts(group, crowded_fleet::largeJob), 1U);
     ASSERT_EQ(group.workers.at("w3").running.size(), 1U);
     group.removeLargeWorker();
-    const steady_time lostAt = group.clock.now();
-    for (int round = 0; round < 90 && countStarts(group, crowded_fleet::largeJob) < 2; ++round) {
-        group.submitShortJob(round);
-        group.run(milliseconds(100));
-    }
-    ASSERT_GE(countStarts(group, crowded_fleet::largeJob), 2U);
-    // From 6 s after its last run on, the platform expects a long-running task to run.
-    EXPECT_LT(group.workers.starts.back().at - lostAt, seconds(6));
+    group.expectRestartOfLargeTask();
+}
+
+// LOST: the bound for a restart is the same in a queue that comes after that of the backlog.
+TEST(dispatch, restartsALongRunningTaskOfALowerPriorityDespiteABacklog)
+{
+    crowded_fleet group("/bulk/");
+    ASSERT_EQ(countStarts(group, crowded_fleet::largeJob), 1U);
+    ASSERT_EQ(group.workers.at("w3").running.size(), 1U);
+    group.removeLargeWorker();
+    group.expectRestartOfLargeTask();
 }
 
 TEST(dispatch, startsAGangAsAWhole)
