scheduler: Place the waiting tasks of a step in the order in which they came

What callers would see: of two long-running tasks of a job that wait for the same room, the one that fails again and again gets it each time, and the other is never run again (LOST).

Cause: a task that is put back goes to the end of the list of waiting tasks, and the list was read from its end.

dispatch.restartsTheTaskThatHasWaitedLongest failed before (one task had 1 start, all others went to the other one) and passes now.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -165,7 +165,7 @@
 // The tasks of one step that wait for a worker, and where its runs are placed.
 struct tracked_step
 {
-    // Indexes of the tasks that wait.
+    // Indexes of the tasks that wait, in the order in which they are placed.
     std::vector<std::uint32_t> waiting;
     std::uint32_t unfinishedTasks = 0;
     std::map<worker_incarnation, std::uint32_t> runsPerWorker;
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -299,11 +299,12 @@
     // The runs by worker, with the tasks for which room is held.
     std::map<worker_incarnation, std::uint32_t> runsPerWorker;
     bool someUnplaced = false;
-    for (std::size_t at = waiting.size(); at-- > 0;) {
+    for (std::size_t at = 0; at < waiting.size();) {
         const std::uint32_t index = waiting[at];
         const task_state &task = tasks[index];
         if (!task.done) {
             if (ready.urgency.longRunning && isRestart(task) != ready.urgency.isRestart) {
+                ++at;
                 continue;
             }
             // All tasks of a step need the same resources.
@@ -316,6 +317,7 @@
                     || !holdRoom(state, round, ready, index, runsPerWorker)) {
                     break;
                 }
+                ++at;
                 continue;
             }
         }
--- a/Tests/Unit/dispatch_test.cxx
+++ b/Tests/Unit/dispatch_test.cxx
@@ -690,6 +690,43 @@
     EXPECT_EQ(countStarts(group, 6), 2U);
 }
 
+// Of two restarts of one step the one that fails again and again must not keep the other waiting.
+TEST(dispatch, restartsTheTaskThatHasWaitedLongest)
+{
+    small_fleet group;
+    const auto addLabelled = [&](const std::string &id) {
+        group.workers.add(id, 9'000).record.labels = {"big"};
+        group.announce(id);
+    };
+    addLabelled("w3");
+    addLabelled("w4");
+    group.run(milliseconds(200));
+    group.workers.runDuration = seconds(600);
+    job_graph graph = fleet_group::oneStep(2, 9'000);
+    graph.steps[0].longRunning = true;
+    graph.steps[0].requiredLabel = "big";
+    group.submit(6, graph);
+    group.run(milliseconds(300));
+    ASSERT_EQ(countStarts(group, 6), 2U);
+    ASSERT_EQ(group.workers.at("w4").running.size(), 1U);
+    group.workers.add("w4", 1'000);
+    group.announce("w4");
+    group.run(milliseconds(300));
+    // The run on w3 ends now, and all later ones fail after half a second.
+    group.workers.runDuration = milliseconds(500);
+    group.workers.add("w3", 9'000).record.labels = {"big"};
+    group.workers.at("w3").failsEveryRun = true;
+    group.announce("w3");
+    group.run(seconds(9));
+    for (const std::uint32_t index : {0U, 1U}) {
+        const auto starts = std::count_if(group.workers.starts.begin(), group.workers.starts.end(),
+                                          [&](const recorded_start &start) {
+                                              return start.key.task == task_key{6, 0, 0, index};
+                                          });
+        EXPECT_GE(starts, 2) << "task " << index << ", of " << countStarts(group, 6);
+    }
+}
+
 // A gang needs room for all of its members at once, so short tasks that use all cores must not keep
 // it waiting for as long as they come.
 TEST(dispatch, startsAGangDespiteABacklogOfSmallerTasks)
