control: Log how configuration reads are answered, lost leases and late wake-ups

New lines: configuration-read (role, lease, leader, took_ms), leader-lease when a leader loses or regains its lease, and wake-up-lag once a second when a timer of 20 ms was over 50 ms late; and the histogram mango_wake_up_lag_seconds.

Hypotheses written before: (1) no leader or no lease, (2) the forwarded call is answered too late, as the leader's processor is saturated, (3) a wrong or lost configuration.

--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -15,6 +15,9 @@
 constexpr auto leadershipCheckInterval = std::chrono::milliseconds(20);
 // How long to wait for the leader's response to a forwarded call.
 constexpr auto forwardTimeout = std::chrono::milliseconds(1500);
+// A wake-up that is later than this is logged, at most once in each report interval.
+constexpr auto reportedLag = std::chrono::milliseconds(50);
+constexpr auto lagReportInterval = std::chrono::seconds(1);
 
 // The outcome to report for a forwarded call that got no response: a call that the leader may have
 // carried out is uncertain.
@@ -34,6 +37,11 @@
     return response;
 }
 
+std::int64_t toMilliseconds(steady_span span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 } // namespace
 
 fleet_server::fleet_server(asio::any_io_executor executor, clock_source &clock,
@@ -89,7 +97,10 @@
 
 asio::awaitable<void> fleet_server::watchLeadership()
 {
+    steady_time wakeDue = m_context.clock.now();
     while (!m_stopping) {
+        recordLag(m_context.clock.now() - wakeDue);
+        recordLease();
         const bool current =
                 m_leadership && m_replica.isLeader() && m_replica.term() == m_leadership->term;
         if (m_leadership && !current) {
@@ -98,13 +109,47 @@
         if (!m_leadership && m_replica.hasLeaderLease()) {
             beginLeadership();
         }
+        wakeDue = m_context.clock.now() + leadershipCheckInterval;
         co_await m_context.clock.sleepFor(leadershipCheckInterval);
     }
 }
 
+void fleet_server::recordLag(steady_span lag)
+{
+    const steady_time now = m_context.clock.now();
+    m_longestLag = std::max(m_longestLag, lag);
+    m_context.metricsRegistry.histogram("mango_wake_up_lag_seconds").observe(lag);
+    if (now - m_lagReportedAt < lagReportInterval) {
+        return;
+    }
+    if (m_longestLag > reportedLag) {
+        logEvent(log_part::control, "wake-up-lag", {{"longest_ms", toMilliseconds(m_longestLag)}});
+    }
+    m_lagReportedAt = now;
+    m_longestLag = steady_span(0);
+}
+
+// Logs when a leader loses or regains the lease that lets it answer.
+void fleet_server::recordLease()
+{
+    const bool held = m_leadership && m_replica.hasLeaderLease();
+    if (!m_leadership || held == m_leaseHeld) {
+        return;
+    }
+    const steady_time now = m_context.clock.now();
+    logEvent(log_part::control, "leader-lease",
+             {{"term", m_leadership->term},
+              {"held", held ? "yes" : "no"},
+              {"after_ms", toMilliseconds(now - m_leaseChangedAt)}});
+    m_leaseHeld = held;
+    m_leaseChangedAt = now;
+}
+
 void fleet_server::beginLeadership()
 {
     m_leadership = std::make_shared<dispatch_state>(m_context, m_replica.term());
+    m_leaseHeld = true;
+    m_leaseChangedAt = m_context.clock.now();
     buildIndexes(m_leadership);
     logEvent(log_part::control, "leadership-begins",
              {{"term", m_leadership->term},
@@ -164,6 +209,14 @@
 }
 
 asio::awaitable<fleet_response> fleet_server::serve(fleet_request request)
+{
+    if (std::holds_alternative<read_configuration_call>(request)) {
+        return readConfiguration();
+    }
+    return serveOrForward(std::move(request));
+}
+
+asio::awaitable<fleet_response> fleet_server::serveOrForward(fleet_request request)
 {
     if (m_leadership || m_stopping) {
         return serveLocally(std::move(request));
@@ -171,6 +224,23 @@
     return forwardToLeader(std::move(request));
 }
 
+asio::awaitable<fleet_response> fleet_server::readConfiguration()
+{
+    const steady_time begin = m_context.clock.now();
+    const bool leads = m_leadership != nullptr;
+    const bool leaseHeld = leads && m_replica.hasLeaderLease();
+    const host_address leader = m_replica.leaderAddress();
+    fleet_request request = read_configuration_call{};
+    fleet_response response = co_await serveOrForward(std::move(request));
+    logEvent(log_part::control, "configuration-read",
+             {{"outcome", response.outcome == fleet_outcome::accepted ? "answered" : "unavailable"},
+              {"role", leads ? "leader" : "follower"},
+              {"lease", leaseHeld ? "held" : "not-held"},
+              {"leader", leader.port == 0 ? "unknown" : toText(leader)},
+              {"took_ms", toMilliseconds(m_context.clock.now() - begin)}});
+    co_return response;
+}
+
 asio::awaitable<fleet_response> fleet_server::forwardToLeader(fleet_request request)
 {
     const host_address leader = m_replica.leaderAddress();
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -69,9 +69,14 @@
 
 private:
     boost::asio::awaitable<response_message> handleCall(call message);
+    boost::asio::awaitable<fleet_response> serveOrForward(fleet_request request);
     boost::asio::awaitable<fleet_response> serveLocally(fleet_request request);
+    // Answers an operator's read of the configuration and logs how.
+    boost::asio::awaitable<fleet_response> readConfiguration();
     boost::asio::awaitable<fleet_response> forwardToLeader(fleet_request request);
     boost::asio::awaitable<void> watchLeadership();
+    void recordLag(steady_span lag);
+    void recordLease();
     void beginLeadership();
     void endLeadership();
     void describeGroup(fleet_response &response) const;
@@ -85,6 +90,11 @@
     dispatch_handle m_leadership;
     std::map<host_address, std::shared_ptr<rpc_client>> m_clients;
     bool m_stopping = false;
+    // How late watchLeadership() woke up, at most, since the last report.
+    steady_span m_longestLag{0};
+    steady_time m_lagReportedAt{};
+    bool m_leaseHeld = false;
+    steady_time m_leaseChangedAt{};
 };
 
 } // namespace mango
