wire: Add a failing test on the turns of the loop that a connection needs

A connection between processes reads the header of a frame and then its payload, and each of the two waits takes a turn of the receiver's event loop. At 100 to 200 ms a turn one connection carries 2 to 5 frames a second. A follower forwards all calls and heartbeats over one connection, an edge sends all its calls over one: they fall behind for good, as calls that timed out are still delivered in order.

--- a/Tests/Unit/wire_test.cxx
+++ b/Tests/Unit/wire_test.cxx
@@ -2,6 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "Control/worker_protocol.h"
 #include "Fakes/fake_clock.h"
@@ -9,11 +13,60 @@
 #include "Wire/codec.h"
 #include "Wire/frame_codec.h"
 #include "Wire/rpc.h"
+#include "Wire/tcp_network.h"
 
 namespace mango::test {
 
 namespace {
 
+namespace asio = boost::asio;
+
+constexpr std::size_t queuedFrames = 100;
+
+// What a busy receiver has seen: the frames, and the turns of the event loop that they took.
+struct busy_receiver
+{
+    std::size_t frames = 0;
+    std::size_t turns = 0;
+    bool over = false;
+};
+
+asio::awaitable<void> countTurns(std::shared_ptr<busy_receiver> seen)
+{
+    while (!seen->over) {
+        ++seen->turns;
+        co_await asio::post(asio::use_awaitable);
+    }
+}
+
+// Begins to receive only when all frames have had time to arrive.
+asio::awaitable<void> receiveLate(clock_source &clock, std::shared_ptr<frame_connection> connection,
+                                  std::shared_ptr<busy_receiver> seen)
+{
+    co_await clock.sleepFor(std::chrono::milliseconds(200));
+    asio::co_spawn(co_await asio::this_coro::executor, countTurns(seen), asio::detached);
+    while (seen->frames < queuedFrames) {
+        const auto received = co_await connection->receive();
+        if (failed(received) || valueOf(received).correlation != seen->frames) {
+            break;
+        }
+        ++seen->frames;
+    }
+    seen->over = true;
+}
+
+asio::awaitable<void> sendFrames(network &links, host_address peer)
+{
+    const auto connected = co_await links.connect(peer, std::chrono::seconds(5));
+    if (failed(connected)) {
+        co_return;
+    }
+    for (std::size_t number = 0; number < queuedFrames; ++number) {
+        valueOf(connected)->send({number, 0, false, std::string(number, 'x')});
+    }
+    co_await valueOf(connected)->receive();
+}
+
 call sampleCall()
 {
     entry_report report;
@@ -137,4 +190,30 @@
     EXPECT_EQ(answered, (std::vector<bool>{true, false, true}));
 }
 
+// A busy leader needs long for each turn of its event loop. A connection that delivered one frame
+// in two turns fell behind its callers for good, and their calls ran into their timeouts.
+TEST(tcp_network, deliversAllFramesThatHaveArrivedInFewTurnsOfTheLoop)
+{
+    asio::io_context context(1);
+    system_clock_source clock(context.get_executor());
+    metrics_registry metricsRegistry;
+    const auto links =
+            makeTcpNetwork(context.get_executor(), clock, metricsRegistry, {"north", {}});
+    const auto seen = std::make_shared<busy_receiver>();
+    host_address address{"127.0.0.1", 42100};
+    const auto serve = [&clock, seen](std::shared_ptr<frame_connection> connection) {
+        return receiveLate(clock, std::move(connection), seen);
+    };
+    while (failed(links->listen(address, serve))) {
+        ASSERT_LT(++address.port, 42200);
+    }
+    asio::co_spawn(context, sendFrames(*links, address), asio::detached);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!seen->over && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    EXPECT_EQ(seen->frames, queuedFrames);
+    EXPECT_LT(seen->turns, queuedFrames / 5);
+}
+
 } // namespace mango::test
