wire: Read all frames that have arrived in one turn of the loop

A connection delivered one frame in two turns of the receiver's event loop, so that a busy leader with turns of 100 to 200 ms took 2 to 5 frames a second from each follower and each edge, less than what they send; the backlog of a connection then grew, and all calls over it timed out for as long as the load lasted.

Change: a connection keeps a receive buffer, reads what has arrived at once and delivers complete frames from it without waiting. This also saves a read for each frame.

--- a/Source/Wire/tcp_network.cxx
+++ b/Source/Wire/tcp_network.cxx
@@ -1,6 +1,8 @@
 #include "Wire/tcp_network.h"
 
+#include <algorithm>
 #include <deque>
+#include <optional>
 
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
@@ -34,6 +36,13 @@
 // A peer that does not read is disconnected at this size of the send queue.
 constexpr std::size_t maximumQueuedBytes = 128ULL << 20U;
 constexpr auto handshakeTimeout = std::chrono::seconds(3);
+// One read takes all frames that have arrived, up to this size: each wait for bytes costs a turn of
+// the event loop, which is long while the process is busy.
+constexpr std::size_t readBytes = 16U << 10U;
+// For the payload of a large frame.
+constexpr std::size_t largestReadBytes = 256U << 10U;
+// An empty receive buffer that grew beyond this for a large frame is released.
+constexpr std::size_t keptBufferBytes = 64U << 10U;
 
 // Counters for all connections of a process.
 struct connection_counters
@@ -77,30 +86,22 @@
 
     asio::awaitable<result<frame, network_failure>> receive() override
     {
-        error_code error;
-        std::array<char, frameHeaderBytes> head{};
-        co_await asio::async_read(m_stream, asio::buffer(head),
-                                  asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_return network_failure{network_failure::kind::closed, m_peer, error.message()};
-        }
-        auto header = decodeHeader({head.data(), head.size()}, m_cluster);
-        if (failed(header)) {
-            co_return reject(failureOf(header));
-        }
-        std::string payload(valueOf(header).payloadBytes, '\0');
-        co_await asio::async_read(m_stream, asio::buffer(payload),
-                                  asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_return network_failure{network_failure::kind::closed, m_peer, error.message()};
-        }
-        m_counters.bytesIn += frameHeaderBytes + payload.size();
-        ++m_counters.framesIn;
-        auto joined = joinFrame(valueOf(header), std::move(payload));
-        if (failed(joined)) {
-            co_return reject(failureOf(joined));
+        while (true) {
+            auto next = takeFrame();
+            if (next) {
+                co_return std::move(*next);
+            }
+            error_code error;
+            const std::size_t kept = m_received.size();
+            m_received.resize(kept + std::clamp(missingBytes(), readBytes, largestReadBytes));
+            const std::size_t count = co_await m_stream.async_read_some(
+                    asio::buffer(m_received.data() + kept, m_received.size() - kept),
+                    asio::redirect_error(asio::use_awaitable, error));
+            m_received.resize(kept + count);
+            if (error) {
+                co_return network_failure{network_failure::kind::closed, m_peer, error.message()};
+            }
         }
-        co_return std::move(valueOf(joined));
     }
 
     void send(frame message) override
@@ -142,6 +143,50 @@
         return failure;
     }
 
+    // Takes the next frame out of the received bytes; nothing when it has not arrived in full.
+    std::optional<result<frame, network_failure>> takeFrame()
+    {
+        const std::string_view rest = std::string_view(m_received).substr(m_taken);
+        if (!m_header && rest.size() >= frameHeaderBytes) {
+            auto header = decodeHeader(rest.substr(0, frameHeaderBytes), m_cluster);
+            if (failed(header)) {
+                return reject(failureOf(header));
+            }
+            m_header = valueOf(header);
+        }
+        if (missingBytes() > 0) {
+            discardTaken();
+            return std::nullopt;
+        }
+        const frame_header header = *std::exchange(m_header, std::nullopt);
+        m_taken += frameHeaderBytes + header.payloadBytes;
+        m_counters.bytesIn += frameHeaderBytes + header.payloadBytes;
+        ++m_counters.framesIn;
+        auto joined =
+                joinFrame(header, std::string(rest.substr(frameHeaderBytes, header.payloadBytes)));
+        if (failed(joined)) {
+            return reject(failureOf(joined));
+        }
+        return std::move(valueOf(joined));
+    }
+
+    // How many bytes of the next frame, as far as its length is known, have not arrived.
+    [[nodiscard]] std::size_t missingBytes() const
+    {
+        const std::size_t needed = frameHeaderBytes + (m_header ? m_header->payloadBytes : 0);
+        const std::size_t available = m_received.size() - m_taken;
+        return needed - std::min(needed, available);
+    }
+
+    void discardTaken()
+    {
+        m_received.erase(0, m_taken);
+        m_taken = 0;
+        if (m_received.empty() && m_received.capacity() > keptBufferBytes) {
+            m_received.shrink_to_fit();
+        }
+    }
+
     asio::awaitable<void> writeQueue(std::shared_ptr<tcp_connection> /*keepAlive*/)
     {
         error_code error;
@@ -168,6 +213,11 @@
     std::uint32_t m_cluster;
     connection_counters m_counters;
     host_address m_peer;
+    // Received bytes, of which the first `m_taken` belong to frames that were delivered.
+    std::string m_received;
+    std::size_t m_taken = 0;
+    // The header of the next frame while its payload is incomplete.
+    std::optional<frame_header> m_header;
     std::deque<std::string> m_queue;
     std::size_t m_queuedBytes = 0;
     bool m_writing = false;
