wire: Test frames of all sizes over a real connection

Guards the receive buffer: frames end anywhere in what one read returns, and large ones need many reads.

--- a/Tests/Unit/wire_test.cxx
+++ b/Tests/Unit/wire_test.cxx
@@ -55,6 +55,45 @@
     seen->over = true;
 }
 
+host_address listenOnFreePort(network &links, const connection_handler &serve)
+{
+    host_address address{"127.0.0.1", 42100};
+    while (failed(links.listen(address, serve)) && address.port < 42200) {
+        ++address.port;
+    }
+    EXPECT_LT(address.port, 42200);
+    return address;
+}
+
+// Runs the context until the condition holds, for up to 10 s.
+void runUntil(asio::io_context &context, const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+}
+
+asio::awaitable<void> exchangeFrames(network &links, host_address peer,
+                                     const std::vector<std::string> &sent,
+                                     std::vector<std::string> &echoed)
+{
+    const auto connected = co_await links.connect(peer, std::chrono::seconds(5));
+    if (failed(connected)) {
+        co_return;
+    }
+    for (std::size_t number = 0; number < sent.size(); ++number) {
+        valueOf(connected)->send({number, 0, false, sent[number]});
+    }
+    while (echoed.size() < sent.size()) {
+        auto received = co_await valueOf(connected)->receive();
+        if (failed(received)) {
+            co_return;
+        }
+        echoed.push_back(std::move(valueOf(received).payload));
+    }
+}
+
 asio::awaitable<void> sendFrames(network &links, host_address peer)
 {
     const auto connected = co_await links.connect(peer, std::chrono::seconds(5));
@@ -190,6 +229,36 @@
     EXPECT_EQ(answered, (std::vector<bool>{true, false, true}));
 }
 
+// Frames end anywhere in what one read returns, and large ones need many reads.
+TEST(tcp_network, deliversFramesOfAllSizesIntact)
+{
+    asio::io_context context(1);
+    system_clock_source clock(context.get_executor());
+    metrics_registry metricsRegistry;
+    const auto links =
+            makeTcpNetwork(context.get_executor(), clock, metricsRegistry, {"north", {}});
+    std::vector<std::string> sent;
+    for (const std::size_t size : {0, 1, 16'348, 3'000'000, 16'384, 7, 262'144, 0, 20'000, 35}) {
+        sent.push_back(std::string(size, static_cast<char>('a' + sent.size())));
+    }
+    std::vector<std::string> echoed;
+    const host_address address = listenOnFreePort(
+            *links, [](std::shared_ptr<frame_connection> connection) -> asio::awaitable<void> {
+                while (true) {
+                    auto received = co_await connection->receive();
+                    if (failed(received)) {
+                        co_return;
+                    }
+                    connection->send(std::move(valueOf(received)));
+                }
+            });
+    asio::co_spawn(context, exchangeFrames(*links, address, sent, echoed), asio::detached);
+    runUntil(context, [&] {
+        return echoed.size() == sent.size();
+    });
+    EXPECT_EQ(echoed, sent);
+}
+
 // A busy leader needs long for each turn of its event loop. A connection that delivered one frame
 // in two turns fell behind its callers for good, and their calls ran into their timeouts.
 TEST(tcp_network, deliversAllFramesThatHaveArrivedInFewTurnsOfTheLoop)
@@ -200,18 +269,14 @@
     const auto links =
             makeTcpNetwork(context.get_executor(), clock, metricsRegistry, {"north", {}});
     const auto seen = std::make_shared<busy_receiver>();
-    host_address address{"127.0.0.1", 42100};
-    const auto serve = [&clock, seen](std::shared_ptr<frame_connection> connection) {
-        return receiveLate(clock, std::move(connection), seen);
-    };
-    while (failed(links->listen(address, serve))) {
-        ASSERT_LT(++address.port, 42200);
-    }
+    const host_address address =
+            listenOnFreePort(*links, [&clock, seen](std::shared_ptr<frame_connection> connection) {
+                return receiveLate(clock, std::move(connection), seen);
+            });
     asio::co_spawn(context, sendFrames(*links, address), asio::detached);
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-    while (!seen->over && std::chrono::steady_clock::now() < end) {
-        context.run_one_for(std::chrono::milliseconds(100));
-    }
+    runUntil(context, [&seen] {
+        return seen->over;
+    });
     EXPECT_EQ(seen->frames, queuedFrames);
     EXPECT_LT(seen->turns, queuedFrames / 5);
 }
