tests: Let the sender write all frames before the receiver of the loop test begins

The wait of 200 ms alone depends on the machine's load; the sender shares the event loop, so a number of turns of the loop gives it the time to write. The bound stays: fewer than 20 turns for 100 frames.

--- a/Tests/Unit/wire_test.cxx
+++ b/Tests/Unit/wire_test.cxx
@@ -44,6 +44,10 @@
                                   std::shared_ptr<busy_receiver> seen)
 {
     co_await clock.sleepFor(std::chrono::milliseconds(200));
+    // The sender shares the loop, so its writes are over after this even if the sleep ended late.
+    for (int turn = 0; turn < 1000; ++turn) {
+        co_await asio::post(asio::use_awaitable);
+    }
     asio::co_spawn(co_await asio::this_coro::executor, countTurns(seen), asio::detached);
     while (seen->frames < queuedFrames) {
         const auto received = co_await connection->receive();
