scheduler: Time the waits of restarts and of first runs of a step apart

Cause: one time per step told since when a task of it had found no worker. A task whose run had just ended thus counted as overdue, and as starved, when tasks of its step that had not run yet had waited for 1.5 s.

Change: the two have times of their own, and are logged apart. task-waits tells whether restarts wait, and the largest free cores of a worker when the round began, besides those that are left when the task is tried: only the first tell whether room came up that others got. rounds reports the longest wait of a restart, and the most tasks for which a round of that second held room instead of those of its last round.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -162,6 +162,15 @@
 
 using tracked_worker_handle = std::shared_ptr<tracked_worker>;
 
+// The wait of tasks that found no worker.
+struct unplaced_wait
+{
+    // Since when some task has found no worker; nothing when none waits.
+    std::optional<steady_time> since;
+    // When the log last reported the wait.
+    steady_time loggedAt{};
+};
+
 // The tasks of one step that wait for a worker, and where its runs are placed.
 struct tracked_step
 {
@@ -170,10 +179,9 @@
     std::uint32_t unfinishedTasks = 0;
     std::map<worker_incarnation, std::uint32_t> runsPerWorker;
     std::map<std::string, std::uint32_t> runsPerDomain;
-    // Since when some waiting task has found no worker.
-    std::optional<steady_time> unplacedSince;
-    // When the log last reported that a task of the step waits.
-    steady_time waitLoggedAt{};
+    // Of a long-running step, the tasks that have not run yet and the restarts wait apart.
+    unplaced_wait wait;
+    unplaced_wait restartsWait;
     // Since when the step has had no run although it is ready.
     std::optional<steady_time> idleSince;
     // By task: workers where it failed or stalled or runs slowly, so that it is tried elsewhere.
@@ -207,6 +215,8 @@
     std::uint32_t rounds = 0;
     steady_span longest{0};
     steady_span total{0};
+    // The most tasks for which a round held room.
+    std::uint32_t mostHeld = 0;
 };
 
 // The leader's state in memory. Each leadership builds it anew from the replicated state and from
--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -37,6 +37,7 @@
 {
     std::uint64_t count = 0;
     steady_span longest{0};
+    steady_span longestRestart{0};
 };
 
 std::array<waiting_tasks, taskKindCount> countWaiting(const dispatch_state &state, steady_time now)
@@ -50,12 +51,19 @@
         }
         for (const auto &[at, steps] : job.occurrences) {
             for (std::size_t step = 0; step < steps.size(); ++step) {
-                if (!steps[step].unplacedSince) {
+                const auto &first = steps[step].wait.since;
+                const auto &restarts = steps[step].restartsWait.since;
+                if (!first && !restarts) {
                     continue;
                 }
                 waiting_tasks &kind = waiting[kindOf(committed->second.graph.steps[step])];
                 kind.count += steps[step].waiting.size();
-                kind.longest = std::max(kind.longest, now - *steps[step].unplacedSince);
+                if (first) {
+                    kind.longest = std::max(kind.longest, now - *first);
+                }
+                if (restarts) {
+                    kind.longestRestart = std::max(kind.longestRestart, now - *restarts);
+                }
             }
         }
     }
@@ -84,7 +92,7 @@
 
 void exportSummary(metrics_registry &metrics, const round_offers &round,
                    const std::array<waiting_tasks, taskKindCount> &waiting,
-                   const unsettled_runs &unsettled)
+                   const unsettled_runs &unsettled, std::uint32_t mostHeld)
 {
     metrics.at("mango_workers_considered") = round.offers.size();
     const auto exportExcluded = [&metrics](const char *reason, std::uint32_t count) {
@@ -102,7 +110,9 @@
         metrics.at("mango_longest_wait_milliseconds" + label) =
                 static_cast<std::uint64_t>(toMilliseconds(waiting[kind].longest));
     }
-    metrics.at("mango_tasks_held_room") = round.held;
+    metrics.at("mango_tasks_held_room") = mostHeld;
+    metrics.at("mango_longest_restart_wait_milliseconds") =
+            static_cast<std::uint64_t>(toMilliseconds(waiting[longRunningTask].longestRestart));
     metrics.at("mango_runs_end_pending") = unsettled.endPending;
     metrics.at("mango_runs_unconfirmed") = unsettled.unconfirmed;
     metrics.at("mango_runs_stopping") = unsettled.stopping;
@@ -115,12 +125,12 @@
                     std::size_t startedBefore)
 {
     const steady_time now = state.context.clock.now();
-    tracked_step &step = *ready.tracked;
-    if (!step.unplacedSince || now - *step.unplacedSince < reportedWait
-        || now - step.waitLoggedAt < waitReportInterval) {
+    unplaced_wait &wait = waitOf(ready);
+    if (!wait.since || now - *wait.since < reportedWait
+        || now - wait.loggedAt < waitReportInterval) {
         return;
     }
-    step.waitLoggedAt = now;
+    wait.loggedAt = now;
     std::int64_t mostCores = 0;
     std::int64_t mostMemory = 0;
     for (const worker_offer &offer : round.offers) {
@@ -142,13 +152,15 @@
              {{"step", formatJobId(ready.job) + "." + std::to_string(ready.occurrence) + "."
                                + std::to_string(ready.step)},
               {"kind", kindNames[kindOf(*request.step)]},
-              {"waiting", step.waiting.size()},
-              {"waited_ms", toMilliseconds(now - *step.unplacedSince)},
+              {"restart", ready.urgency.isRestart ? "yes" : "no"},
+              {"waiting", ready.tracked->waiting.size()},
+              {"waited_ms", toMilliseconds(now - *wait.since)},
               {"milli_cores", request.step->resources.milliCores},
               {"memory_mb", request.step->resources.memoryMb},
               {"workers", round.offers.size()},
               {"obstacles", obstacles},
               {"most_free_milli_cores", mostCores},
+              {"most_free_at_begin", round.mostFreeMilliCores},
               {"most_free_memory_mb", mostMemory},
               {"started_before", startedBefore}});
 }
@@ -160,13 +172,14 @@
     ++summary.rounds;
     summary.total += now - begin;
     summary.longest = std::max(summary.longest, now - begin);
+    summary.mostHeld = std::max(summary.mostHeld, round.held);
     state.context.metricsRegistry.histogram("mango_round_seconds").observe(now - begin);
     if (now - summary.since < summaryInterval) {
         return;
     }
     const auto waiting = countWaiting(state, now);
     const unsettled_runs unsettled = countUnsettled(state);
-    exportSummary(state.context.metricsRegistry, round, waiting, unsettled);
+    exportSummary(state.context.metricsRegistry, round, waiting, unsettled, summary.mostHeld);
     logEvent(log_part::scheduler, "rounds",
              {{"rounds", summary.rounds},
               {"total_ms", toMilliseconds(summary.total)},
@@ -178,8 +191,9 @@
               {"unplaced_short", waiting[shortTask].count},
               {"unplaced_best_effort", waiting[bestEffortTask].count},
               {"unplaced_long_running", waiting[longRunningTask].count},
-              {"held", round.held},
+              {"held", summary.mostHeld},
               {"longest_wait_ms", toMilliseconds(waiting[longRunningTask].longest)},
+              {"longest_restart_ms", toMilliseconds(waiting[longRunningTask].longestRestart)},
               {"ends_pending", unsettled.endPending},
               {"unconfirmed", unsettled.unconfirmed},
               {"stopping", unsettled.stopping}});
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -23,7 +23,7 @@
 constexpr auto pressureSaveInterval = std::chrono::seconds(3);
 // A job that takes longer than its objective times this factor has no value any more.
 constexpr int noValueFactor = 3;
-// A restart of a long-running task that has waited for longer goes before queues of all priorities.
+// Restarts of a long-running step of which one has waited for longer go before all priorities.
 constexpr auto restartOverdueAfter = std::chrono::milliseconds(1500);
 constexpr std::uint32_t highestPriority = 0;
 
@@ -60,8 +60,8 @@
     }
     if (restarts > 0) {
         step.urgency.isRestart = true;
-        const auto &unplacedSince = step.tracked->unplacedSince;
-        if (unplacedSince && now - *unplacedSince > restartOverdueAfter) {
+        const auto &since = step.tracked->restartsWait.since;
+        if (since && now - *since > restartOverdueAfter) {
             step.urgency.priority = highestPriority;
         }
         ready.push_back(step);
--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -88,6 +88,7 @@
         ready.step = key.task.step;
         ready.committedJob = &job->second;
         ready.tracked = &step;
+        ready.urgency.longRunning = run.longRunning;
         ready.tracked->avoidedWorkers[key.task.index].insert(worker->record.incarnation);
         if (placeTask(state, round, ready, key.task.index, task->lastRun + 1, started)) {
             logEvent(log_part::scheduler, "run-copied",
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -17,11 +17,13 @@
 
 // True when a step has had no run for too long while most cores are free, or when a long-running
 // task has waited for too long.
-bool isStarved(const round_offers &round, tracked_step &step, bool longRunning, steady_time now)
+bool isStarved(const round_offers &round, const ready_step &ready, steady_time now)
 {
-    if (longRunning) {
-        return step.unplacedSince && now - *step.unplacedSince > starvationThreshold;
+    if (ready.urgency.longRunning) {
+        const auto &since = waitOf(ready).since;
+        return since && now - *since > starvationThreshold;
     }
+    tracked_step &step = *ready.tracked;
     if (!step.runsPerWorker.empty()) {
         step.idleSince.reset();
         return false;
@@ -32,6 +34,14 @@
     return round.mostlyIdle && now - *step.idleSince > starvationThreshold;
 }
 
+void beginWait(const dispatch_state &state, const ready_step &ready)
+{
+    unplaced_wait &wait = waitOf(ready);
+    if (!wait.since) {
+        wait.since = state.context.clock.now();
+    }
+}
+
 placement_request makeRequest(dispatch_state &state, const ready_step &ready, std::uint32_t index)
 {
     const job_step &step = ready.committedJob->graph.steps[ready.step];
@@ -119,8 +129,8 @@
     if (ready.urgency.isRestart) {
         return true;
     }
-    const auto &unplacedSince = ready.tracked->unplacedSince;
-    return unplacedSince && state.context.clock.now() - *unplacedSince > heldRoomThreshold;
+    const auto &since = waitOf(ready).since;
+    return since && state.context.clock.now() - *since > heldRoomThreshold;
 }
 
 // Tries to reserve resources for all members of a gang on a copy of the offers. Where a member does
@@ -175,16 +185,14 @@
     const bool mayHold = deservesHeldRoom(*state, ready);
     gang_trial trial = reserveGang(state, round, ready, tasks.size(), mayHold);
     if (!trial.fits) {
-        if (!ready.tracked->unplacedSince) {
-            ready.tracked->unplacedSince = state->context.clock.now();
-        }
+        beginWait(*state, ready);
         if (mayHold && trial.complete) {
             round.offers = std::move(trial.offers);
             round.held += static_cast<std::uint32_t>(tasks.size());
         }
         return;
     }
-    ready.tracked->unplacedSince.reset();
+    waitOf(ready).since.reset();
     std::uint32_t run = 0;
     for (const task_state &task : tasks) {
         run = std::max(run, task.lastRun);
@@ -204,6 +212,11 @@
     return task.lastRun > 0;
 }
 
+unplaced_wait &waitOf(const ready_step &ready)
+{
+    return ready.urgency.isRestart ? ready.tracked->restartsWait : ready.tracked->wait;
+}
+
 round_offers collectOffers(const dispatch_state &state)
 {
     round_offers round;
@@ -247,6 +260,9 @@
     for (const worker_offer &offer : round.offers) {
         used += offer.used.milliCores;
         capacity += offer.record->capacity.milliCores;
+        round.mostFreeMilliCores =
+                std::max(round.mostFreeMilliCores,
+                         std::int64_t(offer.record->capacity.milliCores) - offer.used.milliCores);
     }
     round.mostlyIdle = used * 2 < capacity;
     return round;
@@ -259,8 +275,7 @@
     placement_request request = makeRequest(*state, ready, index);
     offer_choice chosen = chooseOffer(round.offers, request);
     const char *reason = "fits";
-    if (chosen.index < 0
-        && isStarved(round, *ready.tracked, step.longRunning, state->context.clock.now())) {
+    if (chosen.index < 0 && isStarved(round, ready, state->context.clock.now())) {
         request.starved = true;
         reason = "starved";
         chosen = chooseOffer(round.offers, request);
@@ -323,11 +338,10 @@
         }
         waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(at));
     }
-    if (someUnplaced && !ready.tracked->unplacedSince) {
-        ready.tracked->unplacedSince = state->context.clock.now();
-    }
-    if (waiting.empty()) {
-        ready.tracked->unplacedSince.reset();
+    if (someUnplaced) {
+        beginWait(*state, ready);
+    } else {
+        waitOf(ready).since.reset();
     }
 }
 
--- a/Source/Dispatch/task_placement.h
+++ b/Source/Dispatch/task_placement.h
@@ -20,6 +20,9 @@
     step_urgency urgency;
 };
 
+// The wait of the tasks that a ready step stands for.
+unplaced_wait &waitOf(const ready_step &ready);
+
 // The number of workers that get no new work, by the first reason that applies.
 struct excluded_workers
 {
@@ -39,6 +42,8 @@
 {
     // Less than half of the cores are in use by runs that are not best-effort.
     bool mostlyIdle = false;
+    // The most free cores of a worker when the round began, in thousandths.
+    std::int64_t mostFreeMilliCores = 0;
     std::vector<worker_offer> offers;
     // In the order of the offers.
     std::vector<tracked_worker_handle> workers;
@@ -49,7 +54,7 @@
     std::uint32_t held = 0;
 };
 
-// Returns true when the task had a run before.
+// Returns true when the task was started before. A start that was refused counts.
 bool isRestart(const task_state &task);
 
 // Collects the workers that may get new work now, with their used resources.
--- a/Source/Scheduling/step_order.h
+++ b/Source/Scheduling/step_order.h
@@ -19,7 +19,7 @@
     steady_time expiresAt{};
     // The expected time of the remaining critical path, this step included.
     std::chrono::milliseconds remainingCriticalPath{0};
-    // The waiting tasks are long-running and had a run before, which ended.
+    // The waiting tasks are long-running and were started before.
     bool isRestart = false;
 };
 
