scheduler: Look at the offers once for requests that no worker meets

Each round looked at every worker up to three times for every step that waits, also when nothing could fit.

Resources on offer only shrink within a round. A request that no worker meets, for other reasons than the earlier runs of its step, is therefore kept, and later requests of the round for as much or more are rejected without a look at the offers. The scan itself asks for memory and cores first. Obstacles are counted only when the task-waits line is due.

--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -110,8 +110,7 @@
 } // namespace
 
 void recordUnplaced(const dispatch_state &state, const round_offers &round, const ready_step &ready,
-                    const placement_request &request, const offer_choice &choice,
-                    std::size_t startedBefore)
+                    const placement_request &request, std::size_t startedBefore)
 {
     const steady_time now = state.context.clock.now();
     tracked_step &step = *ready.tracked;
@@ -130,11 +129,12 @@
         mostMemory = std::max(mostMemory, std::int64_t(capacity.memoryMb) - offer.used.memoryMb);
     }
     std::string obstacles;
-    for (std::size_t at = 0; at < choice.obstacles.size(); ++at) {
-        if (choice.obstacles[at] > 0) {
+    const auto workersByObstacle = countObstacles(round.offers, request);
+    for (std::size_t at = 0; at < workersByObstacle.size(); ++at) {
+        if (workersByObstacle[at] > 0) {
             obstacles += (obstacles.empty() ? "" : ",")
                          + std::string(toText(static_cast<placement_obstacle>(at))) + ":"
-                         + std::to_string(choice.obstacles[at]);
+                         + std::to_string(workersByObstacle[at]);
         }
     }
     logEvent(log_part::scheduler, "task-waits",
--- a/Source/Dispatch/round_report.h
+++ b/Source/Dispatch/round_report.h
@@ -8,8 +8,7 @@
 // largest free resources and the number of starts that this round decided before. One line per step
 // and interval, and only once the step has waited for a while.
 void recordUnplaced(const dispatch_state &state, const round_offers &round, const ready_step &ready,
-                    const placement_request &request, const offer_choice &choice,
-                    std::size_t startedBefore);
+                    const placement_request &request, std::size_t startedBefore);
 
 // Counts a finished scheduling round. Once per second it logs and exports how long rounds take,
 // which workers are considered, how many tasks wait for how long, and how many runs have an end or
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -130,21 +130,21 @@
                                       : &avoidedWorkers->second,
                               &state->interference,
                               imageId(state->interference, step.image)};
-    offer_choice chosen = chooseOffer(round.offers, request);
+    offer_choice chosen = chooseOffer(round.offers, request, round.rejected);
     const char *reason = "fits";
     if (chosen.index < 0
         && isStarved(round, *ready.tracked, step.longRunning, state->context.clock.now())) {
         request.starved = true;
         reason = "starved";
-        chosen = chooseOffer(round.offers, request);
+        chosen = chooseOffer(round.offers, request, round.rejected);
     }
     if (chosen.index < 0 && request.avoidedWorkers != nullptr) {
         request.avoidedWorkers = nullptr;
         reason = "tried-before";
-        chosen = chooseOffer(round.offers, request);
+        chosen = chooseOffer(round.offers, request, round.rejected);
     }
     if (chosen.index < 0) {
-        recordUnplaced(*state, round, ready, request, chosen, started.runs.size());
+        recordUnplaced(*state, round, ready, request, started.runs.size());
         return false;
     }
     worker_offer &offer = round.offers[static_cast<std::size_t>(chosen.index)];
--- a/Source/Dispatch/task_placement.h
+++ b/Source/Dispatch/task_placement.h
@@ -38,6 +38,8 @@
     std::vector<worker_offer> offers;
     // In the order of the offers.
     std::vector<tracked_worker_handle> workers;
+    // The requests of this round that no worker meets.
+    std::vector<rejected_request> rejected;
     excluded_workers excluded;
 };
 
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -35,6 +35,21 @@
     return (offer.longRunningImages.contains(image) ? sameImage : 0) - others * otherImageCost;
 }
 
+bool hasEnoughMemory(const worker_offer &offer, const resource_amounts &requested)
+{
+    const resource_amounts &capacity = offer.record->capacity;
+    return offer.used.memoryMb + requested.memoryMb <= capacity.memoryMb
+           && offer.used.accelerators + requested.accelerators <= capacity.accelerators;
+}
+
+bool hasEnoughCores(const worker_offer &offer, const job_step &step)
+{
+    const std::int64_t free = step.bestEffort ? reclaimableMilliCores(offer)
+                                              : std::int64_t(offer.record->capacity.milliCores)
+                                                        - offer.used.milliCores;
+    return std::int64_t(step.resources.milliCores) <= free;
+}
+
 // Returns a score, where higher is better.
 std::int64_t scoreOf(const worker_offer &offer, const placement_request &request)
 {
@@ -109,14 +124,8 @@
     if (offer.inBackoff && !request.starved) {
         return placement_obstacle::backoff;
     }
-    const std::int64_t freeCores =
-            step.bestEffort ? reclaimableMilliCores(offer)
-                            : std::int64_t(record.capacity.milliCores) - offer.used.milliCores;
-    const bool enoughCores = std::int64_t(step.resources.milliCores) <= freeCores;
-    const bool enoughMemory =
-            offer.used.memoryMb + step.resources.memoryMb <= record.capacity.memoryMb
-            && offer.used.accelerators + step.resources.accelerators
-                       <= record.capacity.accelerators;
+    const bool enoughCores = hasEnoughCores(offer, step);
+    const bool enoughMemory = hasEnoughMemory(offer, step.resources);
     if (!enoughCores || !enoughMemory) {
         if (enoughMemory) {
             return placement_obstacle::cores;
@@ -145,14 +154,49 @@
     return findObstacle(offer, request) == placement_obstacle::none;
 }
 
+std::array<std::uint32_t, placementObstacleCount>
+countObstacles(const std::vector<worker_offer> &offers, const placement_request &request)
+{
+    std::array<std::uint32_t, placementObstacleCount> counts{};
+    for (const worker_offer &offer : offers) {
+        ++counts[static_cast<std::size_t>(findObstacle(offer, request))];
+    }
+    return counts;
+}
+
+bool isRejected(const std::vector<rejected_request> &rejected, const placement_request &request)
+{
+    const job_step &step = *request.step;
+    return std::any_of(rejected.begin(), rejected.end(), [&](const rejected_request &one) {
+        const job_step &other = *one.step;
+        // Interference, which depends on the image, matters for best-effort tasks that are not
+        // starved.
+        const bool sameInterference = !step.bestEffort || one.starved || one.image == request.image;
+        return step.bestEffort == other.bestEffort && (one.starved || !request.starved)
+               && step.resources.milliCores >= other.resources.milliCores
+               && step.resources.memoryMb >= other.resources.memoryMb
+               && step.resources.accelerators >= other.resources.accelerators && sameInterference
+               && (other.requiredLabel.empty() || step.requiredLabel == other.requiredLabel)
+               && *one.service == *request.service;
+    });
+}
+
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request)
 {
     offer_choice best;
     std::int64_t bestScore = 0;
     for (std::size_t at = 0; at < offers.size(); ++at) {
+        // On a full service nearly all offers lack memory or cores, which is quick to tell.
+        if (!hasEnoughMemory(offers[at], request.step->resources)
+            || !hasEnoughCores(offers[at], *request.step)) {
+            continue;
+        }
         const placement_obstacle obstacle = findObstacle(offers[at], request);
         if (obstacle != placement_obstacle::none) {
-            ++best.obstacles[static_cast<std::size_t>(obstacle)];
+            best.excludedByRuns += obstacle == placement_obstacle::triedBefore
+                                                   || obstacle == placement_obstacle::perWorkerLimit
+                                           ? 1
+                                           : 0;
             continue;
         }
         ++best.candidates;
@@ -165,6 +209,19 @@
     return best;
 }
 
+offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request,
+                         std::vector<rejected_request> &rejected)
+{
+    if (isRejected(rejected, request)) {
+        return {};
+    }
+    const offer_choice choice = chooseOffer(offers, request);
+    if (choice.index < 0 && choice.excludedByRuns == 0) {
+        rejected.push_back({request.step, request.service, request.image, request.starved});
+    }
+    return choice;
+}
+
 std::int64_t reclaimableMilliCores(const worker_offer &offer)
 {
     const std::int64_t shortMilliCores =
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -78,6 +78,10 @@
 // its constraints.
 bool fits(const worker_offer &offer, const placement_request &request);
 
+// Returns the number of workers by obstacle.
+std::array<std::uint32_t, placementObstacleCount>
+countObstacles(const std::vector<worker_offer> &offers, const placement_request &request);
+
 // The result of a choice among the offers.
 struct offer_choice
 {
@@ -85,10 +89,23 @@
     int index = -1;
     // The number of workers that fit.
     std::uint32_t candidates = 0;
-    // The number of workers by obstacle.
-    std::array<std::uint32_t, placementObstacleCount> obstacles{};
+    // The number of workers that would fit but for the earlier runs of the step or of the task.
+    std::uint32_t excludedByRuns = 0;
+};
+
+// A request that no worker meets, whatever runs its step has. The resources on offer only shrink
+// within a round, so that until its end no worker meets a request for as much or more.
+struct rejected_request
+{
+    const job_step *step = nullptr;
+    const std::string *service = nullptr;
+    image_id image = 0;
+    bool starved = false;
 };
 
+// Returns true when one of the rejected requests shows that no worker meets the request.
+bool isRejected(const std::vector<rejected_request> &rejected, const placement_request &request);
+
 // Returns the best offer for one more task of the step. The policy is made for a mix of many short
 // tasks and best-effort tasks beside long-running ones. Long-running tasks are spread over the
 // failure domains, and those of one image share workers, so that each best-effort image finds
@@ -96,6 +113,11 @@
 // tasks first.
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request);
 
+// Returns the same, without a look at the offers when an earlier request of the round was rejected
+// that asked for no more. Adds the request to the rejected ones when no worker meets it.
+offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request,
+                         std::vector<rejected_request> &rejected);
+
 // Returns the cores that best-effort tasks can expect on the worker, in thousandths.
 std::int64_t reclaimableMilliCores(const worker_offer &offer);
 
--- a/Tests/Unit/scheduling_decisions_test.cxx
+++ b/Tests/Unit/scheduling_decisions_test.cxx
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 
 #include "Common/random_source.h"
@@ -277,6 +278,124 @@
     EXPECT_EQ(chooseOffer(offers, request).index, 2);
 }
 
+// Random offers of up to 40 workers, of which about half are nearly full.
+struct random_offers
+{
+    explicit random_offers(seeded_random &random)
+    {
+        const std::uint64_t size = 1 + random.below(40);
+        records.reserve(size);
+        for (std::uint64_t number = 0; number < size; ++number) {
+            worker_record record = recordNamed("w" + std::to_string(number), 8000);
+            record.service = random.below(8) == 0 ? "other" : "desk";
+            record.failureDomain = std::to_string(number % 3);
+            record.labels = random.below(3) == 0 ? std::vector<std::string>{"ssd"}
+                                                 : std::vector<std::string>{};
+            record.capacity = {8000, 4000, static_cast<std::uint32_t>(random.below(2))};
+            records.push_back(record);
+            worker_offer offer;
+            offer.record = &records.back();
+            offer.inBackoff = random.below(10) == 0;
+            offer.used.memoryMb = static_cast<std::uint32_t>(random.below(4000));
+            for (std::uint64_t task = random.below(4); task > 0; --task) {
+                const auto image = static_cast<image_id>(1 + random.below(3));
+                const auto milliCores = static_cast<std::uint32_t>(500 + random.below(2000));
+                offer.used.milliCores += milliCores;
+                offer.longRunningMilliCores += milliCores;
+                ++offer.longRunningImages[image];
+                latency_critical_task critical;
+                critical.image = image;
+                critical.milliCores = milliCores;
+                critical.load = static_cast<double>(random.below(100)) / 100;
+                critical.addedLoad = static_cast<double>(random.below(20)) / 100;
+                critical.loadLimit = 0.776;
+                offer.latencyCritical.push_back(critical);
+            }
+            offer.used.milliCores += static_cast<std::uint32_t>(random.below(4000));
+            offer.bestEffortMilliCores = static_cast<std::uint32_t>(random.below(4000));
+            offers.push_back(offer);
+        }
+    }
+
+    std::vector<worker_record> records;
+    std::vector<worker_offer> offers;
+};
+
+job_step randomStep(seeded_random &random)
+{
+    job_step step;
+    step.bestEffort = random.below(2) == 0;
+    step.longRunning = !step.bestEffort && random.below(2) == 0;
+    step.resources = {static_cast<std::uint32_t>(500 * (1 + random.below(12))),
+                      static_cast<std::uint32_t>(500 * random.below(6)),
+                      static_cast<std::uint32_t>(random.below(4) == 0 ? 1 : 0)};
+    step.requiredLabel = random.below(4) == 0 ? "ssd" : "";
+    step.perWorkerLimit = static_cast<std::uint32_t>(random.below(3));
+    return step;
+}
+
+// A round looks at the offers only when no earlier request for as much was rejected. Guards against
+// a task that stays without a worker for that although one fits, and against another choice.
+TEST(run_placement, choosesTheSameWithRejectedRequestsAtRandom)
+{
+    int rejections = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        seeded_random random(seed);
+        random_offers round(random);
+        interference_model model;
+        for (image_id image = 1; image <= 3; ++image) {
+            for (image_id other = 4; other <= 6; ++other) {
+                setPressure(model.pressures[image], other,
+                            static_cast<double>(random.below(250)) / 100, 0);
+            }
+        }
+        const std::array<std::string, 2> services{"desk", "other"};
+        // The requests refer to their steps until the end of the round.
+        std::vector<job_step> steps;
+        steps.reserve(60);
+        std::vector<rejected_request> rejected;
+        for (int task = 0; task < 60; ++task) {
+            steps.push_back(randomStep(random));
+            std::map<worker_incarnation, std::uint32_t> runsPerWorker;
+            std::set<worker_incarnation> avoidedWorkers;
+            for (const worker_record &record : round.records) {
+                if (random.below(3) == 0) {
+                    runsPerWorker[record.incarnation] = 1;
+                }
+                if (random.below(3) == 0) {
+                    avoidedWorkers.insert(record.incarnation);
+                }
+            }
+            const std::map<std::string, std::uint32_t> runsPerDomain{{"1", 1}};
+            placement_request request{&steps.back(),
+                                      &services.at(random.below(6) == 0 ? 1 : 0),
+                                      &runsPerWorker,
+                                      &runsPerDomain,
+                                      random.below(2) == 0 ? &avoidedWorkers : nullptr,
+                                      &model,
+                                      static_cast<image_id>(4 + random.below(3))};
+            request.starved = random.below(4) == 0;
+            const auto fitting = std::count_if(round.offers.begin(), round.offers.end(),
+                                               [&](const worker_offer &offer) {
+                                                   return fits(offer, request);
+                                               });
+            const auto obstacles = countObstacles(round.offers, request);
+            const offer_choice plain = chooseOffer(round.offers, request);
+            rejections += isRejected(rejected, request) ? 1 : 0;
+            const offer_choice quick = chooseOffer(round.offers, request, rejected);
+            ASSERT_EQ(plain.candidates, fitting) << "seed " << seed;
+            ASSERT_EQ(plain.index < 0, fitting == 0) << "seed " << seed;
+            ASSERT_EQ(obstacles[0], fitting) << "seed " << seed;
+            ASSERT_EQ(quick.index, plain.index) << "seed " << seed;
+            ASSERT_EQ(quick.candidates, plain.candidates) << "seed " << seed;
+            if (plain.index >= 0) {
+                reserveResources(round.offers[static_cast<std::size_t>(plain.index)], request);
+            }
+        }
+    }
+    EXPECT_GT(rejections, 1000) << "the shortcut must have been taken";
+}
+
 TEST(run_progress, copiesOrMovesStragglers)
 {
     run_progress run;
