scheduler: Collect the offers of a round with fewer copies

A round collects the offers of all workers, whatever waits: about half of its instructions once requests that no worker meets are kept. The images of long-running tasks were copied as a map for each worker, and the runs of each worker were looked through for latency-critical tasks, also where it has none.

The images are kept in a flat map, vectors are reserved, and a worker counts its latency-critical runs, so that one without any is not looked through. The rows of a report are compared through a sorted vector instead of a set.

--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -17,8 +17,8 @@
 // All runs of a worker stall together, so stalls within this time count as one.
 constexpr auto stallWindow = std::chrono::milliseconds(2000);
 
-template<class Key>
-void decrement(std::map<Key, std::uint32_t> &counts, const Key &key)
+template<class Counts>
+void decrement(Counts &counts, const typename Counts::key_type &key)
 {
     const auto found = counts.find(key);
     if (found != counts.end() && --found->second == 0) {
@@ -34,8 +34,14 @@
     }
 }
 
+bool isLatencyCritical(const tracked_run &run)
+{
+    return run.longRunning && run.tailLatencyTarget.count() > 0;
+}
+
 void addToUsage(tracked_worker &worker, const tracked_run &run)
 {
+    worker.latencyCriticalRuns += isLatencyCritical(run) ? 1 : 0;
     worker.used.memoryMb += run.resources.memoryMb;
     worker.used.accelerators += run.resources.accelerators;
     if (run.bestEffort) {
@@ -51,6 +57,7 @@
 
 void removeFromUsage(tracked_worker &worker, const tracked_run &run)
 {
+    worker.latencyCriticalRuns -= isLatencyCritical(run) ? 1 : 0;
     worker.used.memoryMb -= run.resources.memoryMb;
     worker.used.accelerators -= run.resources.accelerators;
     if (run.bestEffort) {
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -147,7 +147,9 @@
     std::uint32_t longRunningMilliCores = 0;
     std::uint32_t bestEffortMilliCores = 0;
     // The number of long-running runs by image.
-    std::map<image_id, std::uint32_t> longRunningImages;
+    boost::container::flat_map<image_id, std::uint32_t> longRunningImages;
+    // The number of runs with a target for their tail latency.
+    std::uint32_t latencyCriticalRuns = 0;
     // When the interference model was last updated with its figures.
     steady_time interferenceLearnedAt{};
     // The worker numbers the ends of its runs. Ends up to `lastEndReceived` have been processed;
--- a/Source/Dispatch/run_throttling.cxx
+++ b/Source/Dispatch/run_throttling.cxx
@@ -75,6 +75,10 @@
 colocated_tasks colocatedTasksOf(const tracked_worker &worker, steady_time now)
 {
     colocated_tasks tasks;
+    if (worker.latencyCriticalRuns == 0) {
+        return tasks;
+    }
+    tasks.latencyCritical.reserve(worker.latencyCriticalRuns);
     const auto cores = static_cast<double>(std::max(1U, worker.record.capacity.milliCores));
     for (const auto &[key, run] : worker.runs) {
         if (run.longRunning && run.tailLatencyTarget.count() > 0 && isRunning(run)) {
--- a/Source/Dispatch/run_throttling.h
+++ b/Source/Dispatch/run_throttling.h
@@ -13,7 +13,8 @@
     std::vector<run_key> bestEffortRuns;
 };
 
-// Collects the tasks of a worker from its latest report.
+// Collects the tasks of a worker from its latest report. The result is empty for a worker without
+// latency-critical tasks, where best-effort tasks disturb none.
 colocated_tasks colocatedTasksOf(const tracked_worker &worker, steady_time now);
 
 // Updates the interference model from the latest report of a worker, and throttles or evicts the
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -71,6 +71,8 @@
 round_offers collectOffers(const dispatch_state &state)
 {
     round_offers round;
+    round.offers.reserve(state.workers.size());
+    round.workers.reserve(state.workers.size());
     const steady_time now = state.context.clock.now();
     const auto &domainsOutOfService = state.context.machine.state().domainsOutOfService;
     for (const auto &[incarnation, worker] : state.workers) {
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -149,12 +149,15 @@
 void resolveUnreportedRuns(const dispatch_handle &state, const tracked_worker_handle &worker,
                            const worker_report &report)
 {
-    std::set<run_key> reported;
+    std::vector<run_key> reported;
+    reported.reserve(report.running.size());
     for (const reported_run &row : report.running) {
-        reported.insert(row.key);
+        reported.push_back(row.key);
     }
+    std::sort(reported.begin(), reported.end());
     for (auto &[key, run] : worker->runs) {
-        if (run.endPending || run.phase == run_phase::planned || reported.contains(key)) {
+        if (run.endPending || run.phase == run_phase::planned
+            || std::binary_search(reported.begin(), reported.end(), key)) {
             continue;
         }
         const bool reportedLater = report.clock > run.lastConfirmedAt;
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/container/flat_map.hpp>
+
 #include "Fleet/worker_record.h"
 #include "Scheduling/image_interference.h"
 
@@ -22,7 +24,7 @@
     // The part of the used cores that was requested by long-running tasks, in thousandths.
     std::uint32_t longRunningMilliCores = 0;
     // The number of long-running tasks by image.
-    std::map<image_id, std::uint32_t> longRunningImages;
+    boost::container::flat_map<image_id, std::uint32_t> longRunningImages;
     // The cores requested by best-effort runs, in thousandths.
     std::uint32_t bestEffortMilliCores = 0;
     // The latency-critical tasks on the worker, with loads predicted beside its present best-effort
