--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -120,9 +120,9 @@
 
 } // namespace
 
-void recordUnplaced(const dispatch_state &state, const round_offers &round, const ready_step &ready,
-                    const placement_request &request, const offer_choice &choice,
-                    std::size_t startedBefore)
+void recordUnplaced(const dispatch_state &state, const round_offers &round,
+                    const std::vector<worker_offer> &offers, const ready_step &ready,
+                    const placement_request &request, std::size_t startedBefore)
 {
     const steady_time now = state.context.clock.now();
     unplaced_wait &wait = waitOf(ready);
@@ -133,7 +133,7 @@
     wait.loggedAt = now;
     std::int64_t mostCores = 0;
     std::int64_t mostMemory = 0;
-    for (const worker_offer &offer : round.offers) {
+    for (const worker_offer &offer : offers) {
         const resource_amounts &capacity = offer.record->capacity;
         mostCores = std::max(mostCores, request.step->bestEffort ? reclaimableMilliCores(offer)
                                                                  : std::int64_t(capacity.milliCores)
@@ -141,11 +141,12 @@
         mostMemory = std::max(mostMemory, std::int64_t(capacity.memoryMb) - offer.used.memoryMb);
     }
     std::string obstacles;
-    for (std::size_t at = 0; at < choice.obstacles.size(); ++at) {
-        if (choice.obstacles[at] > 0) {
+    const auto workersByObstacle = countObstacles(offers, request);
+    for (std::size_t at = 0; at < workersByObstacle.size(); ++at) {
+        if (workersByObstacle[at] > 0) {
             obstacles += (obstacles.empty() ? "" : ",")
                          + std::string(toText(static_cast<placement_obstacle>(at))) + ":"
-                         + std::to_string(choice.obstacles[at]);
+                         + std::to_string(workersByObstacle[at]);
         }
     }
     logEvent(log_part::scheduler, "task-waits",
@@ -157,7 +158,7 @@
               {"waited_ms", toMilliseconds(now - *wait.since)},
               {"milli_cores", request.step->resources.milliCores},
               {"memory_mb", request.step->resources.memoryMb},
-              {"workers", round.offers.size()},
+              {"workers", offers.size()},
               {"obstacles", obstacles},
               {"most_free_milli_cores", mostCores},
               {"most_free_at_begin", round.mostFreeMilliCores},
--- a/Source/Dispatch/round_report.h
+++ b/Source/Dispatch/round_report.h
@@ -5,11 +5,11 @@
 namespace mango {
 
 // Logs that a task of the step has found no worker, with the number of workers by obstacle, the
-// largest free resources and the number of starts that this round decided before. One line per step
-// and interval, and only once the step has waited for a while.
-void recordUnplaced(const dispatch_state &state, const round_offers &round, const ready_step &ready,
-                    const placement_request &request, const offer_choice &choice,
-                    std::size_t startedBefore);
+// largest free resources of the given offers and the number of starts that this round decided
+// before. One line per step and interval, and only once the step has waited for a while.
+void recordUnplaced(const dispatch_state &state, const round_offers &round,
+                    const std::vector<worker_offer> &offers, const ready_step &ready,
+                    const placement_request &request, std::size_t startedBefore);
 
 // Counts a finished scheduling round. Once per second it logs and exports how long rounds take,
 // which workers are considered, how many tasks wait for how long, and how many runs have an end or
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -144,7 +144,7 @@
 };
 
 gang_trial reserveGang(const dispatch_handle &state, round_offers &round, const ready_step &ready,
-                       std::size_t members, bool mayHold)
+                       std::size_t members, bool mayHold, const begin_runs &started)
 {
     gang_trial trial{round.offers};
     const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
@@ -158,7 +158,7 @@
         offer_choice chosen = chooseOffer(trial.offers, request);
         if (chosen.index < 0) {
             if (trial.fits) {
-                recordUnplaced(*state, round, ready, request, chosen, 0);
+                recordUnplaced(*state, round, trial.offers, ready, request, started.runs.size());
             }
             trial.fits = false;
             chosen.index = mayHold ? chooseOfferToHold(trial.offers, releases, request) : -1;
@@ -183,7 +183,7 @@
         return;
     }
     const bool mayHold = deservesHeldRoom(*state, ready);
-    gang_trial trial = reserveGang(state, round, ready, tasks.size(), mayHold);
+    gang_trial trial = reserveGang(state, round, ready, tasks.size(), mayHold, started);
     if (!trial.fits) {
         beginWait(*state, ready);
         if (mayHold && trial.complete) {
@@ -220,6 +220,8 @@
 round_offers collectOffers(const dispatch_state &state)
 {
     round_offers round;
+    round.offers.reserve(state.workers.size());
+    round.workers.reserve(state.workers.size());
     const steady_time now = state.context.clock.now();
     const auto &domainsOutOfService = state.context.machine.state().domainsOutOfService;
     for (const auto &[incarnation, worker] : state.workers) {
@@ -273,20 +275,20 @@
 {
     const job_step &step = ready.committedJob->graph.steps[ready.step];
     placement_request request = makeRequest(*state, ready, index);
-    offer_choice chosen = chooseOffer(round.offers, request);
+    offer_choice chosen = chooseOffer(round.offers, request, round.rejected);
     const char *reason = "fits";
     if (chosen.index < 0 && isStarved(round, ready, state->context.clock.now())) {
         request.starved = true;
         reason = "starved";
-        chosen = chooseOffer(round.offers, request);
+        chosen = chooseOffer(round.offers, request, round.rejected);
     }
     if (chosen.index < 0 && request.avoidedWorkers != nullptr) {
         request.avoidedWorkers = nullptr;
         reason = "tried-before";
-        chosen = chooseOffer(round.offers, request);
+        chosen = chooseOffer(round.offers, request, round.rejected);
     }
     if (chosen.index < 0) {
-        recordUnplaced(*state, round, ready, request, chosen, started.runs.size());
+        recordUnplaced(*state, round, round.offers, ready, request, started.runs.size());
         return false;
     }
     worker_offer &offer = round.offers[static_cast<std::size_t>(chosen.index)];
