--- a/Tests/Unit/dispatch_test.cxx
+++ b/Tests/Unit/dispatch_test.cxx
@@ -103,9 +103,9 @@
         workers.runDuration = milliseconds(400 + (round + 20) * 70 % 400);
         job_graph graph = oneStep(1, 4'000);
         graph.steps[0].estimate = workers.runDuration;
-        submit(static_cast<std::uint64_t>(round + 100), graph);
+        submit(m_nextJob++, graph);
         if (round % m_secondJobInterval == 0) {
-            submit(static_cast<std::uint64_t>(round + 300), graph);
+            submit(m_nextJob++, graph);
         }
     }
 
@@ -145,6 +145,7 @@
 
 private:
     int m_secondJobInterval;
+    std::uint64_t m_nextJob = 100;
 };
 
 // A worker w1 on which a batch task of 24 cores runs for ten minutes, so that 8 cores are free, a
@@ -183,11 +184,10 @@
 
     void submitShortJob()
     {
-        ++submitted;
         job_graph graph = oneStep(1, 4'000);
         graph.steps[0].estimate = milliseconds(600);
         graph.steps[0].requiredLabel = shortLabel;
-        submit(static_cast<std::uint64_t>(submitted + 100), graph);
+        submit(nextJob++, graph);
     }
 
     void addLabelled(const std::string &id, const std::string &label)
@@ -214,7 +214,7 @@
     milliseconds restartedAfter{0};
     static constexpr std::uint64_t largeJob = 6;
     std::string shortLabel;
-    int submitted = 0;
+    std::uint64_t nextJob = 101;
 };
 
 } // namespace
@@ -683,14 +683,13 @@
     ASSERT_EQ(countStarts(group, 6), 1U);
     addWorker("w1", 2);
     group.run(milliseconds(200));
-    int submitted = 0;
+    std::uint64_t nextJob = 101;
     const auto submitShortJob = [&] {
-        ++submitted;
-        group.workers.runDuration = milliseconds(410 + submitted * 70 % 410);
+        group.workers.runDuration = milliseconds(410 + nextJob * 70 % 410);
         job_graph small = fleet_group::oneStep(1, 1'000);
         small.steps[0].resources.accelerators = 1;
         small.steps[0].estimate = group.workers.runDuration;
-        group.submit(static_cast<std::uint64_t>(submitted + 100), small);
+        group.submit(nextJob++, small);
         group.run(milliseconds(100));
     };
     for (int round = 0; round < 20; ++round) {
