--- a/Tests/Benchmark/round_benchmark.cxx
+++ b/Tests/Benchmark/round_benchmark.cxx
@@ -90,8 +90,29 @@
     state.counters["starts"] = static_cast<double>(fleet.workers.starts.size());
 }
 
+// Measures one second of simulated time in which many short tasks start and end.
+void playTurnover(benchmark::State &state)
+{
+    mango::startLogging("error");
+    full_fleet fleet(static_cast<std::uint32_t>(state.range(0)));
+    fleet.workers.runDuration = milliseconds(300);
+    std::uint64_t job = 10'000;
+    for (auto second : state) {
+        for (int number = 0; number < 20; ++number) {
+            mango::job_graph graph = fleet_group::oneStep(25, 250);
+            graph.steps.resize(3, graph.steps[0]);
+            graph.steps[1].dependsOn = {0};
+            graph.steps[2].dependsOn = {1};
+            fleet.submit(job++, graph);
+        }
+        fleet.run(milliseconds(600));
+    }
+    state.counters["starts"] = static_cast<double>(fleet.workers.starts.size());
+}
+
 } // namespace
 
+BENCHMARK(playTurnover)->Arg(350)->Iterations(5)->Unit(benchmark::kMillisecond);
 BENCHMARK(playRounds)->Arg(90)->Arg(350)->Iterations(5)->Unit(benchmark::kMillisecond);
 
 BENCHMARK_MAIN();
