benchmarks: Wait for an exchange through a future

clang-tidy took the loop over a flag that the coroutine sets for an infinite one. A failed exchange now ends the benchmark instead of blocking it.

--- a/Tests/Benchmark/exchange_benchmark.cxx
+++ b/Tests/Benchmark/exchange_benchmark.cxx
@@ -1,8 +1,8 @@
 #include <benchmark/benchmark.h>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
 
 #include "Http/http_client.h"
 #include "Http/http_server.h"
@@ -19,11 +19,10 @@
             200, {{"Content-Type", "application/json"}}, std::string(300, 'x')};
 }
 
-asio::awaitable<void> exchangeOnce(mango::http_client &client, const mango::http_request &request,
-                                   bool &over)
+asio::awaitable<bool> exchangeOnce(mango::http_client &client, const mango::http_request &request)
 {
     const auto response = co_await client.exchange(request, std::chrono::seconds(1));
-    over = !mango::failed(response);
+    co_return !mango::failed(response);
 }
 
 // Measures one exchange of the size of a lease renewal on an open connection, both of its ends.
@@ -48,11 +47,14 @@
             std::string(80, 'y'),
             {}};
     for (auto one : state) {
-        bool over = false;
-        asio::co_spawn(context, exchangeOnce(*client, request, over), asio::detached);
-        while (!over) {
+        auto exchanged = asio::co_spawn(context, exchangeOnce(*client, request), asio::use_future);
+        while (exchanged.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
             context.run_one();
         }
+        if (!exchanged.get()) {
+            state.SkipWithError("the exchange failed");
+            break;
+        }
     }
 }
 
