consensus: Grant votes whatever the own membership says about voters

In a deployment: no leader until the lost replica is back, though two of three replicas are there with all that was accepted.

Cause: an emptied replica is a learner, then promoted. The promotion is committed by the leader and one of the other two. If the leader is lost before the third has it, then either the informed one asks for the vote of the other, which refuses as it does not know itself, or the candidate, as a voter; or the uninformed one lacks the entry and cannot win. Only a leader could send it the entry.

Change: a vote depends on the term, the log and whether the candidate is in the group at all, not on who is a voter in the own log. Who counts is decided by the candidate's log, as in Raft's membership changes, where majorities of consecutive memberships overlap.

--- a/Source/Consensus/replica_election.cxx
+++ b/Source/Consensus/replica_election.cxx
@@ -151,9 +151,10 @@
 asio::awaitable<vote_response> replica::handleVote(vote_request request)
 {
     const auto lock = co_await m_storageLock.acquire();
-    // An identity outside the group belongs to a replica that was emptied or replaced.
-    const member *candidate = findMember(request.candidate);
-    if (candidate == nullptr || !candidate->voter || !isVoter()) {
+    // An identity outside the group belongs to a replica that was emptied or replaced. Whether the
+    // candidate or this replica is a voter is for the candidate's log to say: the one that lacks
+    // the newest membership would otherwise refuse for ever, as only a leader could send it.
+    if (findMember(request.candidate) == nullptr) {
         co_return vote_response{m_vote.term, false};
     }
     const bool leaderIsAlive =
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -56,7 +56,7 @@
             imageId(state.interference, step.image)};
 }
 
-// The run is certain to end soon, or ends by itself some time.
+// True when the run ends by itself some time, or is about to be stopped.
 bool isReleased(const tracked_run &run)
 {
     return run.endPending || run.stopRequested || !run.longRunning;
@@ -133,8 +133,7 @@
     return since && state.context.clock.now() - *since > heldRoomThreshold;
 }
 
-// Tries to reserve resources for all members of a gang on a copy of the offers. Where a member does
-// not fit and `mayHold` is set, resources are held on the worker that will soonest have them.
+// The offers after an attempt to reserve resources for all members of a gang.
 struct gang_trial
 {
     std::vector<worker_offer> offers;
@@ -143,6 +142,8 @@
     bool complete = true;
 };
 
+// Reserves resources for all members of a gang on a copy of the offers. For a member that does not
+// fit it holds them, if `mayHold` is set, on the worker where they are expected to be free soonest.
 gang_trial reserveGang(const dispatch_handle &state, round_offers &round, const ready_step &ready,
                        std::size_t members, bool mayHold, const begin_runs &started)
 {
--- a/Tests/Unit/replica_test.cxx
+++ b/Tests/Unit/replica_test.cxx
@@ -244,6 +244,49 @@
     EXPECT_EQ(group.version(static_cast<std::size_t>(group.leader())), 1U);
 }
 
+// P10: when a promotion is committed the leader may be lost, also while one of the other two
+// replicas has not heard of the promotion: they must elect a leader. The link to one of them is cut
+// at each of 150 moments around the promotion.
+TEST(replica, electsALeaderThoughOneVoterHasNotHeardOfAPromotion)
+{
+    int committedPromotions = 0;
+    for (const std::size_t uninformed : {1U, 2U}) {
+        for (int moment = 0; moment < 150; ++moment) {
+            replica_group group(3);
+            ASSERT_TRUE(group.putWithRetry(0));
+            const auto leader = static_cast<std::size_t>(group.leader());
+            const std::size_t emptied = (leader + 1) % 3;
+            const auto votersOf = [&] {
+                const auto members = group.nodes[leader]->consensus->status().group;
+                return std::count_if(members.begin(), members.end(), [](const member &one) {
+                    return one.voter;
+                });
+            };
+            group.wipe(emptied);
+            group.restart(emptied);
+            for (int wait = 0; wait < 20'000 && votersOf() == 3; ++wait) {
+                group.run(milliseconds(1));
+            }
+            ASSERT_EQ(votersOf(), 2) << "the emptied replica is a learner";
+            group.run(milliseconds(moment));
+            group.disconnect(leader, (leader + uninformed) % 3);
+            for (int wait = 0; wait < 500 && votersOf() < 3 && group.leader() >= 0; ++wait) {
+                group.run(milliseconds(1));
+            }
+            if (votersOf() < 3) {
+                continue;
+            }
+            ++committedPromotions;
+            group.wipe(leader);
+            group.reconnectAll();
+            group.run(seconds(10));
+            ASSERT_GE(group.leader(), 0) << "uninformed " << uninformed << ", moment " << moment;
+            EXPECT_EQ(group.version(static_cast<std::size_t>(group.leader())), 1U);
+        }
+    }
+    EXPECT_GT(committedPromotions, 0);
+}
+
 // P4, P10: an isolated leader, which sees no connection errors, loses its lease before another
 // replica can be elected.
 TEST(replica, isolatedLeaderLosesItsLeaseBeforeAnotherIsElected)
