tests: Read the emptied replica's identity and the voters from one status

The case counted three voters in one status and read the identity in a second one. When the change was committed between the two, the first still had the old identity as a voter and the second the new one as a learner, so the case killed the leader while only one voter was left. Two of three disks were then lost, and no leader is right.

The two conditions are now read from one status.

--- a/Tests/Cases/config/emptied_replica.lua
+++ b/Tests/Cases/config/emptied_replica.lua
@@ -7,11 +7,10 @@
         "change " .. n .. " was refused")
 end
 local emptied = leader() % 3 + 1
-local function identity_of(n)
-    return admin_result("GET", "/v1/status"):match(
-        '{"name":"control%-' .. n .. '"[^}]-"identity":"(%x+)"')
+local function identity_in(status, n)
+    return status:match('{"name":"control%-' .. n .. '"[^}]-"identity":"(%x+)"')
 end
-local before = identity_of(emptied)
+local before = identity_in(admin_result("GET", "/v1/status"), emptied)
 send_signal("control-" .. emptied, "KILL")
 wait_for_exit("control-" .. emptied, 1000)
 remove_tree(folder .. "/control-" .. emptied)
@@ -19,7 +18,7 @@
 wait_until(15000, "P10", "the emptied replica does not vote", function()
     local text = admin_result("GET", "/v1/status")
     local _, voters = text:gsub('"voter":true', "")
-    return voters == 3 and identity_of(emptied) ~= before
+    return voters == 3 and identity_in(text, emptied) ~= before
 end)
 local second = leader()
 send_signal("control-" .. second, "KILL")
