scheduler: Tell in the log how a worker's end was learned and what its runs had shown

Counters: mango_worker_exits_total, mango_runs_lost_total by cause, mango_speculative_copies_total.

No logic is changed.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -222,7 +222,7 @@
     // The call may be of an earlier incarnation: it ends only a worker that has announced to drain.
     if (known != committed.end() && known->second.draining) {
         if (const tracked_worker_handle worker = findWorker(*state, known->second.incarnation)) {
-            recordWorkerExit(state, worker);
+            recordWorkerExit(state, worker, worker_exit_evidence::deregistered);
         }
     }
     co_return responseOf(fleet_outcome::accepted);
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -17,6 +17,11 @@
 // All runs of a worker stall together, so stalls within this time count as one.
 constexpr auto stallWindow = std::chrono::milliseconds(2000);
 
+std::int64_t toMilliseconds(steady_span span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 template<class Counts>
 void decrement(Counts &counts, const typename Counts::key_type &key)
 {
@@ -172,7 +177,20 @@
     run.endPending = true;
     markOfferChanged(state, worker);
     state.pendingEnds.push_back({run.key, outcome, checkpoint});
-    if (outcome != run_outcome::done) {
+    if (outcome == run_outcome::lost) {
+        ++state.context.metricsRegistry.at(worker->exited
+                                                   ? "mango_runs_lost_total{cause=\"exit\"}"
+                                                   : "mango_runs_lost_total{cause=\"silence\"}");
+        // A worker that was last heard soon after the start may have exited because of it.
+        logEvent(
+                log_part::scheduler, "run-over",
+                {{"run", toText(run.key)},
+                 {"outcome", toText(outcome)},
+                 {"worker", worker->record.incarnation.id},
+                 {"worker_exited", worker->exited ? "yes" : "no"},
+                 {"age_ms", toMilliseconds(state.context.clock.now() - run.startSentAt)},
+                 {"last_heard_ms_after_start", toMilliseconds(worker->heardAt - run.startSentAt)}});
+    } else if (outcome != run_outcome::done) {
         logEvent(log_part::scheduler, "run-over",
                  {{"run", toText(run.key)},
                   {"outcome", toText(outcome)},
@@ -226,15 +244,42 @@
     asio::co_spawn(state->context.executor, sendStop(state, worker, run.key), asio::detached);
 }
 
-void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker)
+const char *toText(worker_exit_evidence evidence)
+{
+    switch (evidence) {
+    case worker_exit_evidence::replacedAtAddress:
+        return "replaced-at-address";
+    case worker_exit_evidence::restarted:
+        return "restarted";
+    case worker_exit_evidence::deregistered:
+        return "deregistered";
+    }
+    return "unknown";
+}
+
+void reportWorkerExit(const dispatch_state &state, const tracked_worker &worker,
+                      worker_exit_evidence evidence)
+{
+    const char *drained = worker.record.draining ? "yes" : "no";
+    ++state.context.metricsRegistry.at(std::string("mango_worker_exits_total{evidence=\"")
+                                       + toText(evidence) + "\",draining=\"" + drained + "\"}");
+    logEvent(log_part::scheduler, "worker-gone",
+             {{"worker", worker.record.incarnation.id},
+              {"evidence", toText(evidence)},
+              {"draining", drained},
+              {"silent_ms", toMilliseconds(state.context.clock.now() - worker.heardAt)},
+              {"runs", worker.runs.size()}});
+}
+
+void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
+                      worker_exit_evidence evidence)
 {
     if (worker->exited) {
         return;
     }
     worker->exited = true;
     markOfferChanged(*state, worker);
-    logEvent(log_part::scheduler, "worker-gone",
-             {{"worker", worker->record.incarnation.id}, {"runs", worker->runs.size()}});
+    reportWorkerExit(*state, *worker, evidence);
     for (auto &[key, run] : worker->runs) {
         if (run.phase != run_phase::planned) {
             queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -312,8 +312,26 @@
 void requestStop(const dispatch_handle &state, const tracked_worker_handle &worker,
                  tracked_run &run);
 
+// How this process learned that the process of a worker has ended.
+enum class worker_exit_evidence : std::uint8_t {
+    // Another process answers at its address.
+    replacedAtAddress,
+    // A newer incarnation answers or is registered under its id.
+    restarted,
+    // It was draining and has deregistered.
+    deregistered
+};
+
+// Returns the name of the evidence in log lines and metric labels.
+const char *toText(worker_exit_evidence evidence);
+
+// Counts and logs that the process of a worker has ended.
+void reportWorkerExit(const dispatch_state &state, const tracked_worker &worker,
+                      worker_exit_evidence evidence);
+
 // Records that the process of a worker has ended, and queues the ends of its runs as lost.
-void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker);
+void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
+                      worker_exit_evidence evidence);
 
 // The time from its acceptance within which a job should be complete.
 std::chrono::milliseconds completionObjective(const dispatch_state &state, const job_state &job);
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -157,6 +157,9 @@
     for (auto at = state->workers.lower_bound({newest.id, std::chrono::milliseconds::min()});
          at != end; ++at) {
         const tracked_worker_handle &worker = at->second;
+        if (worker->current && !worker->exited) {
+            reportWorkerExit(*state, *worker, worker_exit_evidence::restarted);
+        }
         worker->current = false;
         markOfferChanged(*state, worker);
         for (auto &[key, run] : worker->runs) {
--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -130,6 +130,7 @@
         ready.tracked->avoidedWorkers[key.task.index].insert(worker->record.incarnation);
         std::optional<offer_ranking> ranking;
         if (placeTask(state, round, ready, key.task.index, task->lastRun + 1, ranking, started)) {
+            ++state->context.metricsRegistry.at("mango_speculative_copies_total");
             logEvent(log_part::scheduler, "run-copied",
                      {{"run", toText(key)},
                       {"worker", worker->record.incarnation.id},
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -59,7 +59,7 @@
         }
         state->superseded = true;
     } else if (result == worker_call_result::wrongIncarnation) {
-        recordWorkerExit(state, worker);
+        recordWorkerExit(state, worker, worker_exit_evidence::replacedAtAddress);
     } else if (result == worker_call_result::unhealthy
                || result == worker_call_result::insufficientResources
                || result == worker_call_result::neverSent
@@ -264,7 +264,7 @@
     const auto &report = std::get<worker_report>(response);
     if (report.startTime > worker->record.incarnation.startTime) {
         // A newer incarnation answered under the same id; its own announcement registers it.
-        recordWorkerExit(state, worker);
+        recordWorkerExit(state, worker, worker_exit_evidence::restarted);
         co_return false;
     }
     processReport(state, worker, report);
