--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -62,8 +62,51 @@
     worker.running.erase(found);
 }
 
+void fake_workers::crash(const std::string &id)
+{
+    crash(m_workers.at(id));
+}
+
+void fake_workers::crash(fake_worker &worker)
+{
+    recorded_crash &recorded =
+            crashes.emplace_back(recorded_crash{worker.record.incarnation.id, {}, m_clock.now()});
+    for (const auto &[key, run] : worker.running) {
+        recorded.runs.push_back(key);
+    }
+    worker.running.clear();
+    worker.ended.clear();
+    worker.crashesAt.reset();
+    worker.unreachable = true;
+    worker.replacedAt = m_clock.now() + downTime;
+    forgetDoneOn(worker.record.incarnation.id);
+}
+
+void fake_workers::replaceCrashedWorkers()
+{
+    std::vector<std::string> due;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.replacedAt && *worker.replacedAt <= m_clock.now()) {
+            due.push_back(id);
+        }
+    }
+    for (const std::string &id : due) {
+        const worker_record crashed = m_workers.at(id).record;
+        m_workers.erase(id);
+        const std::string replacement = id + "+";
+        worker_record &record = add(replacement, crashed.capacity.milliCores).record;
+        const worker_incarnation incarnation = record.incarnation;
+        record = crashed;
+        record.incarnation = incarnation;
+        m_replacements.push_back(replacement);
+    }
+}
+
 void fake_workers::finishDueRuns(fake_worker &worker)
 {
+    if (worker.crashesAt && *worker.crashesAt <= m_clock.now()) {
+        crash(worker);
+    }
     std::vector<std::pair<run_key, run_outcome>> over;
     const bool leaseExpired = clockOf(worker) > worker.leasedUntil;
     if (leaseExpired) {
@@ -86,6 +129,7 @@
     for (auto &[id, worker] : m_workers) {
         finishDueRuns(worker);
     }
+    replaceCrashedWorkers();
 }
 
 std::variant<fake_worker *, worker_response>
@@ -139,6 +183,9 @@
                                    durationOf ? durationOf(request.key) : runDuration};
     starts.push_back({worker.record.incarnation.id, request.key, m_clock.now(),
                       request.specification, request.checkpoint});
+    if (crashesWorker && crashesWorker(request.key.task) && !worker.crashesAt) {
+        worker.crashesAt = m_clock.now() + crashDelay;
+    }
     return {worker_call_result::done, clock};
 }
 
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -36,6 +36,18 @@
     bool failsEveryRun = false;
     // Runs make no progress and do not end.
     bool hangs = false;
+    // When the process crashes; nothing when it does not.
+    std::optional<steady_time> crashesAt;
+    // The process has crashed. Another one with a new id answers at the address from then on.
+    std::optional<steady_time> replacedAt;
+};
+
+// A crash of a worker, as recorded for tests.
+struct recorded_crash
+{
+    std::string worker;
+    std::vector<run_key> runs;
+    steady_time at{};
 };
 
 // A start request that a worker has carried out, as recorded for tests.
@@ -73,6 +85,19 @@
     std::map<run_key, std::uint32_t> throttles;
     // The recent load of a run in reports; 0 when this is not set.
     std::function<std::uint32_t(const run_key &)> reportedLoad;
+    // True for tasks that crash each worker that starts them, `crashDelay` after the start.
+    std::function<bool(const task_key &)> crashesWorker;
+    std::chrono::milliseconds crashDelay{10};
+    // How long no process answers at the address of a crashed worker.
+    std::chrono::milliseconds downTime{3000};
+    std::vector<recorded_crash> crashes;
+    // Crashes the process of a worker with all of its runs.
+    void crash(const std::string &id);
+    // Returns the ids of the workers that have taken the place of crashed ones since the last call.
+    std::vector<std::string> takeReplacements()
+    {
+        return std::exchange(m_replacements, {});
+    }
     // How long runs take.
     std::chrono::milliseconds runDuration{500};
     // How long one run takes; `runDuration` when this is not set.
@@ -99,6 +124,8 @@
                                                      std::chrono::milliseconds delay);
     void endRun(fake_worker &worker, const run_key &key, run_outcome outcome);
     void finishDueRuns(fake_worker &worker);
+    void crash(fake_worker &worker);
+    void replaceCrashedWorkers();
 
     boost::asio::any_io_executor m_executor;
     clock_source &m_clock;
@@ -109,6 +136,7 @@
     std::map<task_key, std::string> m_doneOn;
     std::uint16_t m_nextPort = 9000;
     std::int64_t m_nextBorn = 1000;
+    std::vector<std::string> m_replacements;
 };
 
 } // namespace mango::test
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -206,6 +206,9 @@
         for (std::chrono::milliseconds passed{0}; passed < span; passed += step) {
             clock.advance(step);
             workers.finishDueRuns();
+            for (const std::string &replacement : workers.takeReplacements()) {
+                sendHeartbeat(replacement);
+            }
         }
     }
 
@@ -267,6 +270,16 @@
     {
         call(heartbeat_call{{workers.at(worker).record, ++m_sequence}});
     }
+    // Sends the heartbeat of a worker to the leader without waiting for its response.
+    void sendHeartbeat(const std::string &worker)
+    {
+        const auto at = static_cast<std::size_t>(std::max(0, leader()));
+        boost::asio::co_spawn(*context,
+                              callAt(nodes[at]->server.get(),
+                                     heartbeat_call{{workers.at(worker).record, ++m_sequence}},
+                                     std::make_shared<std::optional<fleet_response>>()),
+                              boost::asio::detached);
+    }
     fleet_response submit(std::uint64_t job, const job_graph &graph)
     {
         return call(submit_call{"h.example", "/price/" + formatJobId(job), graph});
