jobs: Count the crashes of workers under a task, and give the task up

Callers saw the workers of their sound jobs crash one after the other: a run that ended with its worker was lost, which counted for nothing, so that a task that crashes the workers that start it was queued again without a limit.

A run of a worker that has crashed now ends as 'crashed', with the blame that the leader assigns: shared when the run had begun within the last 500 ms that its worker reported, bystander when it had survived its start, cleared after 10 s. Evidence of a crash is another process at the address or a newer incarnation, unless the worker was draining; a silent worker has not crashed, so its runs are kept as unexplained until it is heard again or its end is known, by this leader or the next.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -2,6 +2,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
+#include "Dispatch/crash_tracking.h"
 
 namespace mango {
 
--- /dev/null
+++ b/Source/Dispatch/crash_tracking.cxx
@@ -0,0 +1,175 @@
+#include "Dispatch/crash_tracking.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Common/event_log.h"
+#include "Common/log.h"
+
+namespace mango {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Exits are compared with those of other workers for this long.
+constexpr auto exitMemory = std::chrono::seconds(15);
+// A worker that was not heard for longer is compared like one that has exited.
+constexpr auto silenceLimit = std::chrono::milliseconds(1000);
+
+run_at_crash knownOf(const tracked_run &run)
+{
+    run_at_crash known;
+    if (run.firstConfirmedAt) {
+        known.survivedFor = run.lastConfirmedAt - *run.firstConfirmedAt;
+    }
+    return known;
+}
+
+// The times at which the other workers that have exited lately or are silent were last heard.
+std::vector<steady_time> silencesOfOthers(dispatch_state &state, const tracked_worker &worker)
+{
+    const steady_time now = state.context.clock.now();
+    auto &exited = state.exitedSilentSince;
+    while (!exited.empty() && now - exited.front() > exitMemory) {
+        exited.pop_front();
+    }
+    std::vector<steady_time> silences(exited.begin(), exited.end());
+    for (const auto &[incarnation, other] : state.workers) {
+        if (other.get() != &worker && !other->exited && now - other->heardAt > silenceLimit) {
+            silences.push_back(other->heardAt);
+        }
+    }
+    return silences;
+}
+
+void proposeExplanations(const dispatch_handle &state, explain_silences explained)
+{
+    if (!explained.explanations.empty()) {
+        asio::co_spawn(state->context.executor, commitCommand(state, std::move(explained)),
+                       asio::detached);
+    }
+}
+
+// Decides for all runs that were on the worker whether they may have caused its crash.
+void blameRuns(const dispatch_handle &state, const tracked_worker_handle &worker)
+{
+    std::vector<tracked_run *> runs;
+    std::vector<run_at_crash> known;
+    for (auto &[key, run] : worker->runs) {
+        if (run.phase != run_phase::planned && !run.endPending) {
+            runs.push_back(&run);
+            known.push_back(knownOf(run));
+        }
+    }
+    for (const silenced_run &silenced : worker->silencedRuns) {
+        known.push_back(silenced.known);
+    }
+    const bool otherCause =
+            isCrashBurst(silencesOfOthers(*state, *worker), worker->heardAt, state->workers.size());
+    const std::vector<crash_blame> blames = assignBlame(known, otherCause);
+    for (std::size_t at = 0; at < runs.size(); ++at) {
+        runs[at]->blame = blames[at];
+    }
+    explain_silences explained;
+    for (std::size_t at = runs.size(); at < blames.size(); ++at) {
+        explained.explanations.push_back({worker->silencedRuns[at - runs.size()].key, blames[at]});
+    }
+    worker->silencedRuns.clear();
+    proposeExplanations(state, std::move(explained));
+    for (const crash_blame blame : blames) {
+        ++state->context.metricsRegistry.at("mango_crash_blames_total{blame=\"" + toText(blame)
+                                            + "\"}");
+    }
+}
+
+} // namespace
+
+const char *toText(worker_exit_evidence evidence)
+{
+    switch (evidence) {
+    case worker_exit_evidence::replacedAtAddress:
+        return "replaced-at-address";
+    case worker_exit_evidence::restarted:
+        return "restarted";
+    case worker_exit_evidence::deregistered:
+        return "deregistered";
+    case worker_exit_evidence::removed:
+        return "removed";
+    }
+    return "unknown";
+}
+
+void recordWorkerReplaced(const dispatch_handle &state, const tracked_worker_handle &worker,
+                          worker_exit_evidence evidence)
+{
+    if (std::exchange(worker->exitRecorded, true)) {
+        return;
+    }
+    const bool drained = worker->record.draining;
+    if (drained) {
+        recordWorkerHeardAgain(state, worker);
+    } else {
+        blameRuns(state, worker);
+        state->exitedSilentSince.push_back(worker->heardAt);
+    }
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+            state->context.clock.now() - worker->heardAt);
+    ++state->context.metricsRegistry.at(std::string("mango_worker_exits_total{evidence=\"")
+                                        + toText(evidence) + "\",draining=\""
+                                        + (drained ? "yes" : "no") + "\"}");
+    logEvent(log_part::scheduler, "worker-gone",
+             {{"worker", worker->record.incarnation.id},
+              {"evidence", toText(evidence)},
+              {"draining", drained ? "yes" : "no"},
+              {"silent_ms", silence.count()},
+              {"runs", worker->runs.size()}});
+}
+
+void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
+                      worker_exit_evidence evidence)
+{
+    if (worker->exited) {
+        return;
+    }
+    recordWorkerReplaced(state, worker, evidence);
+    worker->exited = true;
+    markOfferChanged(*state, worker);
+    for (auto &[key, run] : worker->runs) {
+        if (run.phase != run_phase::planned) {
+            queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
+        }
+    }
+    worker->wake.notifyAll();
+}
+
+void endRunsOfSilentWorker(dispatch_state &state, const tracked_worker_handle &worker)
+{
+    for (auto &[key, run] : worker->runs) {
+        if (run.phase != run_phase::planned && !run.endPending) {
+            worker->silencedRuns.push_back({key, knownOf(run)});
+            queueRunEnd(state, worker, run, run_outcome::workerSilent, run.checkpoint);
+        }
+    }
+}
+
+void recordWorkerHeardAgain(const dispatch_handle &state, const tracked_worker_handle &worker)
+{
+    explain_silences explained;
+    for (const silenced_run &silenced : worker->silencedRuns) {
+        explained.explanations.push_back({silenced.key, std::nullopt});
+    }
+    worker->silencedRuns.clear();
+    proposeExplanations(state, std::move(explained));
+}
+
+void adoptUnexplainedRuns(dispatch_state &state, const task_key &key, const task_state &task)
+{
+    for (const active_run &run : task.unexplained) {
+        if (const tracked_worker_handle worker = findWorker(state, run.worker)) {
+            worker->silencedRuns.push_back({{key, run.run}, {}});
+        }
+    }
+}
+
+} // namespace mango
--- /dev/null
+++ b/Source/Dispatch/crash_tracking.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Dispatch/dispatch_state.h"
+
+namespace mango {
+
+// How this process learned that the process of a worker has ended.
+enum class worker_exit_evidence : std::uint8_t {
+    // Another process answers at its address.
+    replacedAtAddress,
+    // A newer incarnation answers or is registered under its id.
+    restarted,
+    // It was draining and has deregistered.
+    deregistered,
+    // It has been silent for so long that it was removed.
+    removed
+};
+
+// Returns the name of the evidence in log lines and metric labels.
+const char *toText(worker_exit_evidence evidence);
+
+// Records that the process of a worker has ended, and queues the ends of its runs as crashed, or as
+// lost if the worker was draining.
+void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
+                      worker_exit_evidence evidence);
+
+// Records that the process of a worker has ended and decides which of its runs may be to blame, but
+// leaves the ends of its runs to the caller.
+void recordWorkerReplaced(const dispatch_handle &state, const tracked_worker_handle &worker,
+                          worker_exit_evidence evidence);
+
+// Queues the ends of all runs of a worker whose lease has certainly expired. Whether the worker has
+// crashed is not known yet.
+void endRunsOfSilentWorker(dispatch_state &state, const tracked_worker_handle &worker);
+
+// Records that a worker was heard again, so that it had not crashed while it was silent.
+void recordWorkerHeardAgain(const dispatch_handle &state, const tracked_worker_handle &worker);
+
+// Lists the runs of a task whose workers may have crashed, as replicated, on their workers.
+void adoptUnexplainedRuns(dispatch_state &state, const task_key &key, const task_state &task);
+
+} // namespace mango
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -39,6 +39,32 @@
     }
 }
 
+void reportRunEnd(const dispatch_state &state, const tracked_worker &worker, const tracked_run &run,
+                  run_outcome outcome)
+{
+    if (outcome == run_outcome::done) {
+        return;
+    }
+    const bool vanished = outcome == run_outcome::workerCrashed
+                          || outcome == run_outcome::workerSilent || outcome == run_outcome::lost;
+    if (!vanished) {
+        logEvent(log_part::scheduler, "run-over",
+                 {{"run", toText(run.key)},
+                  {"outcome", toText(outcome)},
+                  {"worker", worker.record.incarnation.id}});
+        return;
+    }
+    ++state.context.metricsRegistry.at("mango_runs_lost_total{cause=\"" + toText(outcome) + "\"}");
+    // A worker that was last heard soon after the start may have crashed because of it.
+    logEvent(log_part::scheduler, "run-over",
+             {{"run", toText(run.key)},
+              {"outcome", toText(outcome)},
+              {"worker", worker.record.incarnation.id},
+              {"age_ms", toMilliseconds(state.context.clock.now() - run.startSentAt)},
+              {"last_heard_ms_after_start", toMilliseconds(worker.heardAt - run.startSentAt)},
+              {"blame", run.blame ? toText(*run.blame) : "none"}});
+}
+
 bool isLatencyCritical(const tracked_run &run)
 {
     return run.longRunning && run.tailLatencyTarget.count() > 0;
@@ -138,6 +164,14 @@
     }
 }
 
+void confirmRun(tracked_run &run, worker_time at)
+{
+    if (!run.firstConfirmedAt) {
+        run.firstConfirmedAt = at;
+    }
+    run.lastConfirmedAt = std::max(run.lastConfirmedAt, at);
+}
+
 void wakeScheduler(dispatch_state &state)
 {
     state.changed = true;
@@ -176,26 +210,11 @@
     }
     run.endPending = true;
     markOfferChanged(state, worker);
-    state.pendingEnds.push_back({run.key, outcome, checkpoint});
-    if (outcome == run_outcome::lost) {
-        ++state.context.metricsRegistry.at(worker->exited
-                                                   ? "mango_runs_lost_total{cause=\"exit\"}"
-                                                   : "mango_runs_lost_total{cause=\"silence\"}");
-        // A worker that was last heard soon after the start may have exited because of it.
-        logEvent(
-                log_part::scheduler, "run-over",
-                {{"run", toText(run.key)},
-                 {"outcome", toText(outcome)},
-                 {"worker", worker->record.incarnation.id},
-                 {"worker_exited", worker->exited ? "yes" : "no"},
-                 {"age_ms", toMilliseconds(state.context.clock.now() - run.startSentAt)},
-                 {"last_heard_ms_after_start", toMilliseconds(worker->heardAt - run.startSentAt)}});
-    } else if (outcome != run_outcome::done) {
-        logEvent(log_part::scheduler, "run-over",
-                 {{"run", toText(run.key)},
-                  {"outcome", toText(outcome)},
-                  {"worker", worker->record.incarnation.id}});
-    }
+    const bool crashed = outcome == run_outcome::lost && run.blame;
+    outcome = crashed ? run_outcome::workerCrashed : outcome;
+    state.pendingEnds.push_back(
+            {run.key, outcome, checkpoint, run.blame.value_or(crash_blame::bystander)});
+    reportRunEnd(state, *worker, run, outcome);
     wakeScheduler(state);
 }
 
@@ -244,50 +263,6 @@
     asio::co_spawn(state->context.executor, sendStop(state, worker, run.key), asio::detached);
 }
 
-const char *toText(worker_exit_evidence evidence)
-{
-    switch (evidence) {
-    case worker_exit_evidence::replacedAtAddress:
-        return "replaced-at-address";
-    case worker_exit_evidence::restarted:
-        return "restarted";
-    case worker_exit_evidence::deregistered:
-        return "deregistered";
-    }
-    return "unknown";
-}
-
-void reportWorkerExit(const dispatch_state &state, const tracked_worker &worker,
-                      worker_exit_evidence evidence)
-{
-    const char *drained = worker.record.draining ? "yes" : "no";
-    ++state.context.metricsRegistry.at(std::string("mango_worker_exits_total{evidence=\"")
-                                       + toText(evidence) + "\",draining=\"" + drained + "\"}");
-    logEvent(log_part::scheduler, "worker-gone",
-             {{"worker", worker.record.incarnation.id},
-              {"evidence", toText(evidence)},
-              {"draining", drained},
-              {"silent_ms", toMilliseconds(state.context.clock.now() - worker.heardAt)},
-              {"runs", worker.runs.size()}});
-}
-
-void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
-                      worker_exit_evidence evidence)
-{
-    if (worker->exited) {
-        return;
-    }
-    worker->exited = true;
-    markOfferChanged(*state, worker);
-    reportWorkerExit(*state, *worker, evidence);
-    for (auto &[key, run] : worker->runs) {
-        if (run.phase != run_phase::planned) {
-            queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
-        }
-    }
-    worker->wake.notifyAll();
-}
-
 asio::awaitable<std::optional<fleet_command_result>> commitCommand(dispatch_handle state,
                                                                    fleet_command change)
 {
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <deque>
 #include <set>
 #include <unordered_map>
 
 #include "Common/wake_event.h"
 #include "Dispatch/worker_lease.h"
 #include "Fleet/fleet_state_machine.h"
+#include "Scheduling/crash_suspects.h"
 #include "Scheduling/image_interference.h"
 #include "Scheduling/run_placement.h"
 #include "Scheduling/run_progress.h"
@@ -87,8 +89,12 @@
     bool endPending = false;
     // When the start request expires, on the worker's clock.
     worker_time startDeadline{0};
-    // The worker's clock at its latest response that reported the run or accepted a request for it.
+    // The worker's clock at the first and at the latest response that reported the run or accepted
+    // a request for it.
+    std::optional<worker_time> firstConfirmedAt;
     worker_time lastConfirmedAt{0};
+    // Whether it may have caused the crash of its worker; nothing while that has not crashed.
+    std::optional<crash_blame> blame;
     steady_time startSentAt{};
     // The share of the work that is done.
     std::uint32_t progressPercent = 0;
@@ -115,6 +121,13 @@
     placement_reason placement;
 };
 
+// A run that ended with the silence of its worker, and what was known of it then.
+struct silenced_run
+{
+    run_key key;
+    run_at_crash known;
+};
+
 // One incarnation of a worker: one process under the worker's id.
 struct tracked_worker
 {
@@ -127,6 +140,8 @@
     bool current = true;
     // The process has certainly ended, or the worker has been removed.
     bool exited = false;
+    // Its end has been counted, and its runs have been blamed for it where they may be the cause.
+    bool exitRecorded = false;
     // It has answered this leader, and so refuses requests of earlier leaders.
     bool answered = false;
     std::optional<clock_reading> clock;
@@ -143,6 +158,8 @@
     worker_failure_streak failureStreak;
     steady_time stalledAt{};
     std::map<run_key, tracked_run> runs;
+    // The runs that have ended with its silence since it was last heard.
+    std::vector<silenced_run> silencedRuns;
     // Resources of all its runs; the cores are those of runs that are not best-effort.
     resource_amounts used;
     std::uint32_t longRunningMilliCores = 0;
@@ -275,6 +292,8 @@
     bool allOffersChanged = false;
     // False after a worker was added or removed; the next round then lists the workers anew.
     bool workersListed = false;
+    // When the workers that have exited lately were last heard, oldest exit first.
+    std::deque<steady_time> exitedSilentSince;
     round_summary roundSummary;
     // Something has changed since the last scheduling round began.
     bool changed = true;
@@ -301,6 +320,10 @@
 // Has the next round update the worker's offer.
 void markOfferChanged(dispatch_state &state, const tracked_worker_handle &worker);
 
+// Records that the worker's clock showed `at` when it reported the run or accepted a request for
+// it.
+void confirmRun(tracked_run &run, worker_time at);
+
 // Requests another scheduling round.
 void wakeScheduler(dispatch_state &state);
 
@@ -312,27 +335,6 @@
 void requestStop(const dispatch_handle &state, const tracked_worker_handle &worker,
                  tracked_run &run);
 
-// How this process learned that the process of a worker has ended.
-enum class worker_exit_evidence : std::uint8_t {
-    // Another process answers at its address.
-    replacedAtAddress,
-    // A newer incarnation answers or is registered under its id.
-    restarted,
-    // It was draining and has deregistered.
-    deregistered
-};
-
-// Returns the name of the evidence in log lines and metric labels.
-const char *toText(worker_exit_evidence evidence);
-
-// Counts and logs that the process of a worker has ended.
-void reportWorkerExit(const dispatch_state &state, const tracked_worker &worker,
-                      worker_exit_evidence evidence);
-
-// Records that the process of a worker has ended, and queues the ends of its runs as lost.
-void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
-                      worker_exit_evidence evidence);
-
 // The time from its acceptance within which a job should be complete.
 std::chrono::milliseconds completionObjective(const dispatch_state &state, const job_state &job);
 
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -5,7 +5,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
-#include "Dispatch/dispatch_state.h"
+#include "Dispatch/crash_tracking.h"
 
 namespace mango {
 
@@ -127,6 +127,8 @@
     for (const auto &[at, occurrence] : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             for (std::uint32_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                adoptUnexplainedRuns(*state, {number, at, step, index},
+                                     occurrence.steps[step][index]);
                 for (const active_run &run : occurrence.steps[step][index].active) {
                     tracked_worker_handle worker = findWorker(*state, run.worker);
                     if (!worker) {
@@ -157,9 +159,7 @@
     for (auto at = state->workers.lower_bound({newest.id, std::chrono::milliseconds::min()});
          at != end; ++at) {
         const tracked_worker_handle &worker = at->second;
-        if (worker->current && !worker->exited) {
-            reportWorkerExit(*state, *worker, worker_exit_evidence::restarted);
-        }
+        recordWorkerReplaced(state, worker, worker_exit_evidence::restarted);
         worker->current = false;
         markOfferChanged(*state, worker);
         for (auto &[key, run] : worker->runs) {
@@ -299,6 +299,18 @@
     state->acknowledgements.erase(acknowledgements);
 }
 
+void closeFailedJobs(const dispatch_handle &state, const explain_silences &change)
+{
+    const auto &jobs = state->context.machine.state().jobs;
+    for (const explain_silences::explanation &one : change.explanations) {
+        const auto job = jobs.find(one.key.task.job);
+        if (job == jobs.end() || !isOpen(job->second)) {
+            logJobEnd(*state, one.key.task.job);
+            closeJob(state, one.key.task.job);
+        }
+    }
+}
+
 } // namespace
 
 void buildIndexes(const dispatch_handle &state)
@@ -332,6 +344,8 @@
         indexStartedRuns(state, *started);
     } else if (const auto *ended = std::get_if<end_runs>(&change)) {
         indexRunEnds(state, *ended);
+    } else if (const auto *explained = std::get_if<explain_silences>(&change)) {
+        closeFailedJobs(state, *explained);
     } else if (const auto *submitted = std::get_if<submit_job>(&change)) {
         indexSubmittedJob(state, submitted->job);
     } else if (const auto *cancelled = std::get_if<cancel_job>(&change)) {
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -5,6 +5,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
+#include "Dispatch/crash_tracking.h"
 #include "Dispatch/round_report.h"
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/task_placement.h"
@@ -170,8 +171,8 @@
     asio::co_spawn(state->context.executor, commitCommand(state, std::move(ended)), asio::detached);
 }
 
-// Queues the runs of workers whose lease has certainly expired as lost, and removes workers that
-// have exited, were replaced or have been silent for too long.
+// Queues the ends of the runs of workers whose lease has certainly expired, and removes workers
+// that have exited, were replaced or have been silent for too long.
 void expireSilentWorkers(const dispatch_handle &state)
 {
     const dispatch_timing &timing = state->context.timing;
@@ -188,11 +189,7 @@
                         ? latestExpiry(*worker->clock, worker->leasedUntil)
                         : state->leaderSince + maximumLocalDuration(timing.workerLease);
         if (now > leaseExpiry && !worker->exited) {
-            for (auto &[key, run] : worker->runs) {
-                if (run.phase != run_phase::planned) {
-                    queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
-                }
-            }
+            endRunsOfSilentWorker(*state, worker);
         }
         const bool isObsolete =
                 worker->exited || !worker->current || now - worker->heardAt > timing.forgetAfter;
@@ -208,7 +205,7 @@
                            commitCommand(state, remove_worker{incarnation}), asio::detached);
         }
         if (const tracked_worker_handle worker = findWorker(*state, incarnation)) {
-            worker->exited = true;
+            recordWorkerExit(state, worker, worker_exit_evidence::removed);
         }
         state->workers.erase(incarnation);
         state->workersListed = false;
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -5,7 +5,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
-#include "Dispatch/dispatch_state.h"
+#include "Dispatch/crash_tracking.h"
 #include "Dispatch/run_throttling.h"
 
 namespace mango {
@@ -122,7 +122,7 @@
     if (run.phase == run_phase::unconfirmed || run.phase == run_phase::starting) {
         run.phase = run_phase::running;
     }
-    run.lastConfirmedAt = std::max(run.lastConfirmedAt, report.clock);
+    confirmRun(run, report.clock);
     run.reportedAt = state->context.clock.now();
     if (row.progressPercent != run.progressPercent) {
         run.progressedAt = state->context.clock.now();
@@ -186,6 +186,7 @@
 {
     const steady_time now = state->context.clock.now();
     recordClock(*worker, report.clock, now);
+    recordWorkerHeardAgain(state, worker);
     if (!worker->answered) {
         worker->answered = true;
         // An earlier leader may have granted a lease of the same length just before.
@@ -364,8 +365,7 @@
         if (run.phase == run_phase::starting) {
             run.phase = run_phase::running;
         }
-        run.lastConfirmedAt =
-                std::max(run.lastConfirmedAt, response.clock.value_or(worker_time(0)));
+        confirmRun(run, response.clock.value_or(run.startDeadline));
         ++state->context.metricsRegistry.at("mango_runs_started_total");
         recordFirstStart(*state, key.task.job);
         const auto heardAgo = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -106,13 +106,25 @@
     for (const end_runs::run_end &end : change.ends) {
         const auto found = state.jobs.find(end.key.task.job);
         if (found != state.jobs.end()) {
-            endRun(found->second, end.key, end.outcome, end.checkpoint);
+            endRun(found->second, end.key, end.outcome, end.checkpoint, end.blame);
             retireIfFinished(state, end.key.task.job);
         }
     }
     return fleet_command_result::applied;
 }
 
+fleet_command_result applyOne(fleet_state &state, const explain_silences &change)
+{
+    for (const explain_silences::explanation &one : change.explanations) {
+        const auto found = state.jobs.find(one.key.task.job);
+        if (found != state.jobs.end()) {
+            explainSilence(found->second, one.key, one.blame);
+            retireIfFinished(state, one.key.task.job);
+        }
+    }
+    return fleet_command_result::applied;
+}
+
 fleet_command_result applyOne(fleet_state &state, const record_pressures &change)
 {
     state.pressures = change.pressures;
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -120,11 +120,13 @@
         run_key key;
         run_outcome outcome = run_outcome::done;
         std::string checkpoint;
+        // Of a run whose worker crashed.
+        crash_blame blame = crash_blame::bystander;
 
         template<class Archive>
         void serialize(Archive &archive)
         {
-            archive(key, outcome, checkpoint);
+            archive(key, outcome, checkpoint, blame);
         }
     };
     // Lets the proposer recognise its own command when it is applied.
@@ -138,6 +140,30 @@
     }
 };
 
+// Records what became known of runs that ended with the silence of their workers.
+struct explain_silences
+{
+    struct explanation
+    {
+        run_key key;
+        // Nothing when the worker has not crashed.
+        std::optional<crash_blame> blame;
+
+        template<class Archive>
+        void serialize(Archive &archive)
+        {
+            archive(key, blame);
+        }
+    };
+    std::vector<explanation> explanations;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(explanations);
+    }
+};
+
 // Saves the pressures between images that the leader has estimated, for the next leader.
 struct record_pressures
 {
@@ -150,9 +176,9 @@
     }
 };
 
-using fleet_command =
-        std::variant<adopt_configuration, set_domain_availability, register_worker, remove_worker,
-                     submit_job, cancel_job, begin_runs, end_runs, record_pressures>;
+using fleet_command = std::variant<adopt_configuration, set_domain_availability, register_worker,
+                                   remove_worker, submit_job, cancel_job, begin_runs, end_runs,
+                                   record_pressures, explain_silences>;
 
 // Result of applying a command, returned to its proposer.
 enum class fleet_command_result : std::uint8_t {
--- a/Source/Jobs/job_records.cxx
+++ b/Source/Jobs/job_records.cxx
@@ -62,6 +62,32 @@
     }
 }
 
+void fail(job_state &job, job_failure failure)
+{
+    if (isOpen(job)) {
+        job.phase = job_phase::failed;
+        job.failure = failure;
+    }
+}
+
+void addCrash(job_state &job, task_state &task, crash_blame blame)
+{
+    recordCrash(task.crashRecord, blame);
+    if (!task.done && isProvenCulprit(task.crashRecord)) {
+        fail(job, job_failure::workerCrashes);
+    }
+}
+
+// Keeps the newest runs of which nothing is known, so that the state stays bounded.
+void addUnexplained(task_state &task, const active_run &run)
+{
+    constexpr std::size_t maximumUnexplained = 8;
+    if (task.unexplained.size() >= maximumUnexplained) {
+        task.unexplained.erase(task.unexplained.begin());
+    }
+    task.unexplained.push_back(run);
+}
+
 } // namespace
 
 std::string toText(job_phase phase)
@@ -73,11 +99,18 @@
 
 std::string toText(run_outcome outcome)
 {
-    static constexpr const char *names[] = {"done",   "failed", "stopped", "lapsed",
-                                            "broken", "alone",  "lost",    "never-started"};
+    static constexpr const char *names[] = {"done",    "failed", "stopped", "lapsed",
+                                            "broken",  "alone",  "lost",    "never-started",
+                                            "crashed", "silent"};
     return names[static_cast<int>(outcome)];
 }
 
+std::string toText(job_failure failure)
+{
+    static constexpr const char *names[] = {"none", "task-failures", "worker-crashes"};
+    return names[static_cast<int>(failure)];
+}
+
 job_state makeJob(queue_parameters queueParameters, job_graph graph)
 {
     job_state job;
@@ -129,7 +162,8 @@
     return true;
 }
 
-bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint)
+bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint,
+            crash_blame blame)
 {
     task_state *task = findTask(job, key.task);
     if (task == nullptr) {
@@ -141,6 +175,7 @@
     if (run == task->active.end()) {
         return false;
     }
+    const active_run ended = *run;
     task->active.erase(run);
     if (!checkpoint.empty()) {
         task->checkpoint = checkpoint;
@@ -152,14 +187,36 @@
     } else if (outcome == run_outcome::failed && !step.longRunning && !task->done) {
         task_state &holder = failureCountingTask(occurrence, step, key.task);
         ++holder.failures;
-        if (holder.failures >= job.queueParameters.maximumFailures && isOpen(job)) {
-            job.phase = job_phase::failed;
+        if (holder.failures >= job.queueParameters.maximumFailures) {
+            fail(job, job_failure::taskFailures);
         }
+    } else if (outcome == run_outcome::workerCrashed) {
+        addCrash(job, *task, blame);
+    } else if (outcome == run_outcome::workerSilent) {
+        addUnexplained(*task, ended);
     }
     updatePhase(job);
     return true;
 }
 
+bool explainSilence(job_state &job, const run_key &key, const std::optional<crash_blame> &blame)
+{
+    task_state *task = findTask(job, key.task);
+    if (task == nullptr) {
+        return false;
+    }
+    const auto erased = std::erase_if(task->unexplained, [&key](const active_run &one) {
+        return one.run == key.run;
+    });
+    if (erased == 0) {
+        return false;
+    }
+    if (blame) {
+        addCrash(job, *task, *blame);
+    }
+    return true;
+}
+
 bool hasActiveRuns(const job_state &job)
 {
     return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &item) {
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "Jobs/crash_record.h"
 #include "Jobs/job_graph.h"
 
 namespace mango {
@@ -21,10 +22,14 @@
     gangAborted,
     // Gang member that gave up waiting for the other members to start.
     gangTimedOut,
-    // No outcome was reported: the worker process has exited, or the lease has certainly expired.
+    // No outcome was reported: the worker does not have the run any more.
     lost,
     // The start request was refused or has expired; the run never executed.
-    neverStarted
+    neverStarted,
+    // The worker process ended while it had the run.
+    workerCrashed,
+    // The worker was silent until the lease had certainly expired. It may have crashed.
+    workerSilent
 };
 
 // Returns the name of the phase in API responses and log lines.
@@ -70,11 +75,15 @@
     // Latest checkpoint; empty for none.
     std::string checkpoint;
     std::vector<active_run> active;
+    crash_record crashRecord;
+    // Runs that ended with the silence of their workers, of which is not known yet whether they
+    // crashed.
+    std::vector<active_run> unexplained;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(lastRun, failures, done, checkpoint, active);
+        archive(lastRun, failures, done, checkpoint, active, crashRecord, unexplained);
     }
 };
 
@@ -101,6 +110,18 @@
     }
 };
 
+// Why a job has failed.
+enum class job_failure : std::uint8_t {
+    none,
+    // A task has failed as often as its queue allows.
+    taskFailures,
+    // Workers crashed under one of its tasks.
+    workerCrashes
+};
+
+// Returns the name of the failure in responses and log lines.
+std::string toText(job_failure failure);
+
 // Tasks of one occurrence, indexed by step and then by task.
 struct job_occurrence
 {
@@ -119,13 +140,14 @@
     queue_parameters queueParameters;
     job_graph graph;
     job_phase phase = job_phase::queued;
+    job_failure failure = job_failure::none;
     // All occurrences by number.
     std::map<std::uint32_t, job_occurrence> occurrences;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(queueParameters, graph, phase, occurrences);
+        archive(queueParameters, graph, phase, failure, occurrences);
     }
 };
 
@@ -150,8 +172,15 @@
 bool beginRun(job_state &job, const run_key &key, const worker_incarnation &worker);
 
 // Records the end of a run and updates the phase of the job. Returns false when the run was not
-// active. A non-empty checkpoint replaces that of the task.
-bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint);
+// active. A non-empty checkpoint replaces that of the task. `blame` tells, for a run whose worker
+// crashed, whether it may be the cause.
+bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint,
+            crash_blame blame = crash_blame::bystander);
+
+// Records what became known of a run that ended with the silence of its worker: the blame for the
+// worker's crash, or nothing when the worker has not crashed. Returns false when the run is not
+// among the unexplained ones.
+bool explainSilence(job_state &job, const run_key &key, const std::optional<crash_blame> &blame);
 
 // Returns true when a run of the job may still be executing.
 bool hasActiveRuns(const job_state &job);
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -72,6 +72,10 @@
     {
         return m_workers.at(id);
     }
+    [[nodiscard]] bool exists(const std::string &id) const
+    {
+        return m_workers.contains(id);
+    }
     // Ends the runs that are due by now on all workers, and all runs of workers whose lease has
     // expired.
     void finishDueRuns();
--- /dev/null
+++ b/Tests/Unit/crash_suspects_test.cxx
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include "Scheduling/crash_suspects.h"
+
+namespace mango::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+crash_record recordOf(const std::vector<crash_blame> &blames)
+{
+    crash_record record;
+    for (const crash_blame blame : blames) {
+        recordCrash(record, blame);
+    }
+    return record;
+}
+
+steady_time at(milliseconds time)
+{
+    return steady_time(time);
+}
+
+} // namespace
+
+TEST(crash_record, isProvenByASecondCrashOnTrial)
+{
+    EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::shared})));
+    EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::sole})));
+    EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::bystander, crash_blame::sole})));
+    EXPECT_TRUE(isProvenCulprit(recordOf({crash_blame::shared, crash_blame::sole})));
+}
+
+TEST(crash_record, endsASoundTaskForTheCrashesOfOthers)
+{
+    EXPECT_FALSE(isProvenCulprit(
+            recordOf({crash_blame::shared, crash_blame::shared, crash_blame::shared})));
+    EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::bystander, crash_blame::bystander,
+                                           crash_blame::bystander, crash_blame::bystander})));
+}
+
+// The platform allows three crashes and two more runs, however the crashes come about.
+TEST(crash_record, neverReachesItsLimit)
+{
+    const std::vector<crash_blame> kinds{crash_blame::bystander, crash_blame::shared};
+    for (int mix = 0; mix < 32; ++mix) {
+        crash_record record;
+        for (int crash = 0; crash < 5; ++crash) {
+            recordCrash(record, kinds[mix >> crash & 1]);
+        }
+        EXPECT_TRUE(isProvenCulprit(record)) << mix;
+    }
+}
+
+TEST(crash_record, keepsSuspicionsAfterALongRun)
+{
+    const crash_record record =
+            recordOf({crash_blame::shared, crash_blame::shared, crash_blame::cleared});
+    EXPECT_EQ(record, crash_record{});
+    EXPECT_FALSE(isSuspect(record));
+}
+
+TEST(crash_suspects, areTheRunsThatBeganShortlyBefore)
+{
+    const auto blames = assignBlame(
+            {{milliseconds(0)}, {milliseconds(400)}, {milliseconds(1500)}, {seconds(30)}}, false);
+    const std::vector<crash_blame> expected{crash_blame::shared, crash_blame::shared,
+                                            crash_blame::bystander, crash_blame::cleared};
+    EXPECT_EQ(blames, expected);
+}
+
+TEST(crash_suspects, areBlamedAloneOnlyOnTrial)
+{
+    EXPECT_EQ(assignBlame({{milliseconds(5), true}, {seconds(2)}}, false)[0], crash_blame::sole);
+    EXPECT_EQ(assignBlame({{milliseconds(5)}, {seconds(2)}}, false)[0], crash_blame::shared);
+    EXPECT_EQ(assignBlame({{milliseconds(5), true}, {milliseconds(5)}}, false)[0],
+              crash_blame::shared);
+    EXPECT_EQ(assignBlame({{milliseconds(5), true}}, true)[0], crash_blame::shared);
+}
+
+// A trial that ends with the loss of a rack says nothing about its task.
+TEST(crash_suspects, areBlamedForTheLossOfARack)
+{
+    const steady_time crash = at(seconds(10));
+    const std::vector<steady_time> others{at(milliseconds(9'500)), at(milliseconds(9'900)),
+                                          at(milliseconds(10'400)), at(seconds(2))};
+    EXPECT_TRUE(isCrashBurst(others, crash, 48));
+    EXPECT_FALSE(isCrashBurst(others, crash, 400));
+    EXPECT_FALSE(isCrashBurst({others[0], others[3]}, crash, 48));
+}
+
+} // namespace mango::test
