scheduler: Start tasks under which a worker has crashed apart from others

Callers of sound work lost most to the second and later crashes of a task: the tasks of a crashed worker waited together and were placed on one worker again, so that sound tasks were lost up to 12 times, and nobody could tell which of them was to blame.

A task under which a worker has crashed is now started on trial: on the worker that would lose least, without other runs that are too young to be cleared, and the worker takes no other new run until this one has been reported for 500 ms. At most one worker in eight has a trial at a time; a suspect waits up to 0.5 s for one, then shares its worker, and is started like others when there are too many suspects, as after the loss of a rack. When a worker crashes with a run on trial, the run alone is to blame, unless many workers became silent at the same time or the address has lost two workers lately; with an earlier crash soon after a start that ends the job. Requests to a worker that had stopped answering before count as bystanders.

--- a/Source/Dispatch/crash_tracking.cxx
+++ b/Source/Dispatch/crash_tracking.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/crash_tracking.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -14,12 +16,19 @@
 
 // Exits are compared with those of other workers for this long.
 constexpr auto exitMemory = std::chrono::seconds(15);
+// A start request is answered within this time.
+constexpr auto lateRequestAfter = std::chrono::milliseconds(250);
+// For how long crashes at an address count as recent, and how many make it unstable: a crash of its
+// next worker then says nothing about the runs there.
+constexpr auto crashMemory = std::chrono::seconds(30);
+constexpr std::uint32_t unstableAfterCrashes = 2;
 // A worker that was not heard for longer is compared like one that has exited.
 constexpr auto silenceLimit = std::chrono::milliseconds(1000);
 
 run_at_crash knownOf(const tracked_run &run)
 {
     run_at_crash known;
+    known.onTrial = run.onTrial;
     if (run.firstConfirmedAt) {
         known.survivedFor = run.lastConfirmedAt - *run.firstConfirmedAt;
     }
@@ -43,6 +52,16 @@
     return silences;
 }
 
+void addRecentCrash(dispatch_state &state, const host_address &address)
+{
+    const steady_time now = state.context.clock.now();
+    std::deque<steady_time> &crashes = state.crashesByAddress[address];
+    while (!crashes.empty() && now - crashes.front() >= crashMemory) {
+        crashes.pop_front();
+    }
+    crashes.push_back(now);
+}
+
 void proposeExplanations(const dispatch_handle &state, explain_silences explained)
 {
     if (!explained.explanations.empty()) {
@@ -51,22 +70,38 @@
     }
 }
 
+// The time from which on start requests to the worker that got no answer had probably no effect.
+steady_time lateRequestsSince(const tracked_worker &worker)
+{
+    steady_time first = steady_time::max() - lateRequestAfter;
+    for (const auto &[key, run] : worker.runs) {
+        if (run.phase != run_phase::planned && !run.endPending && !run.firstConfirmedAt) {
+            first = std::min(first, run.startSentAt);
+        }
+    }
+    return first + lateRequestAfter;
+}
+
 // Decides for all runs that were on the worker whether they may have caused its crash.
 void blameRuns(const dispatch_handle &state, const tracked_worker_handle &worker)
 {
     std::vector<tracked_run *> runs;
     std::vector<run_at_crash> known;
+    const steady_time lateSince = lateRequestsSince(*worker);
     for (auto &[key, run] : worker->runs) {
         if (run.phase != run_phase::planned && !run.endPending) {
             runs.push_back(&run);
             known.push_back(knownOf(run));
+            known.back().requestedLate = !run.firstConfirmedAt && run.startSentAt > lateSince;
         }
     }
     for (const silenced_run &silenced : worker->silencedRuns) {
         known.push_back(silenced.known);
     }
     const bool otherCause =
-            isCrashBurst(silencesOfOthers(*state, *worker), worker->heardAt, state->workers.size());
+            countRecentCrashes(*state, worker->record.address) >= unstableAfterCrashes
+            || isCrashBurst(silencesOfOthers(*state, *worker), worker->heardAt,
+                            state->workers.size());
     const std::vector<crash_blame> blames = assignBlame(known, otherCause);
     for (std::size_t at = 0; at < runs.size(); ++at) {
         runs[at]->blame = blames[at];
@@ -100,6 +135,19 @@
     return "unknown";
 }
 
+std::uint32_t countRecentCrashes(const dispatch_state &state, const host_address &address)
+{
+    const auto found = state.crashesByAddress.find(address);
+    if (found == state.crashesByAddress.end()) {
+        return 0;
+    }
+    const steady_time now = state.context.clock.now();
+    return static_cast<std::uint32_t>(
+            std::count_if(found->second.begin(), found->second.end(), [now](steady_time at) {
+                return now - at < crashMemory;
+            }));
+}
+
 void recordWorkerReplaced(const dispatch_handle &state, const tracked_worker_handle &worker,
                           worker_exit_evidence evidence)
 {
@@ -112,6 +160,7 @@
     } else {
         blameRuns(state, worker);
         state->exitedSilentSince.push_back(worker->heardAt);
+        addRecentCrash(*state, worker->record.address);
     }
     const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(
             state->context.clock.now() - worker->heardAt);
--- a/Source/Dispatch/crash_tracking.h
+++ b/Source/Dispatch/crash_tracking.h
@@ -29,6 +29,9 @@
 void recordWorkerReplaced(const dispatch_handle &state, const tracked_worker_handle &worker,
                           worker_exit_evidence evidence);
 
+// Returns how often workers at the address were found to have crashed a short time ago.
+std::uint32_t countRecentCrashes(const dispatch_state &state, const host_address &address);
+
 // Queues the ends of all runs of a worker whose lease has certainly expired. Whether the worker has
 // crashed is not known yet.
 void endRunsOfSilentWorker(dispatch_state &state, const tracked_worker_handle &worker);
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -125,6 +125,7 @@
     const auto run = worker->runs.find(key);
     if (run != worker->runs.end()) {
         removeFromUsage(*worker, run->second);
+        endTrial(state, worker, run->second);
         worker->runs.erase(run);
         markOfferChanged(state, worker);
     }
@@ -172,6 +173,25 @@
     run.lastConfirmedAt = std::max(run.lastConfirmedAt, at);
 }
 
+bool hasSurvivedStart(const tracked_run &run)
+{
+    return run.firstConfirmedAt
+           && run.lastConfirmedAt - *run.firstConfirmedAt >= startSurvivedAfter;
+}
+
+void endTrial(dispatch_state &state, const tracked_worker_handle &worker, tracked_run &run)
+{
+    if (!std::exchange(run.onTrial, false)) {
+        return;
+    }
+    --worker->runsOnTrial;
+    if (worker->trialSlots > 0) {
+        --worker->trialSlots;
+        --state.trialSlots;
+    }
+    markOfferChanged(state, worker);
+}
+
 void wakeScheduler(dispatch_state &state)
 {
     state.changed = true;
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -73,6 +73,8 @@
     std::int64_t freeMilliCores = 0;
     // When the last response of the worker before the decision arrived.
     steady_time heardAt{};
+    // Workers that had crashed under the task before.
+    std::uint32_t earlierCrashes = 0;
 };
 
 // One run that is placed on a worker.
@@ -93,6 +95,8 @@
     // a request for it.
     std::optional<worker_time> firstConfirmedAt;
     worker_time lastConfirmedAt{0};
+    // Its worker takes no other new runs until this one has survived its start.
+    bool onTrial = false;
     // Whether it may have caused the crash of its worker; nothing while that has not crashed.
     std::optional<crash_blame> blame;
     steady_time startSentAt{};
@@ -158,6 +162,9 @@
     worker_failure_streak failureStreak;
     steady_time stalledAt{};
     std::map<run_key, tracked_run> runs;
+    std::uint32_t runsOnTrial = 0;
+    // Those of them that count against the limit of trials.
+    std::uint32_t trialSlots = 0;
     // The runs that have ended with its silence since it was last heard.
     std::vector<silenced_run> silencedRuns;
     // Resources of all its runs; the cores are those of runs that are not best-effort.
@@ -206,6 +213,8 @@
     // Of a long-running step, the tasks that have not run yet and the restarts wait apart.
     unplaced_wait wait;
     unplaced_wait restartsWait;
+    // By task: since when it has waited for a trial.
+    std::map<std::uint32_t, steady_time> trialWaitSince;
     // Since when the step has had no run although it is ready.
     std::optional<steady_time> idleSince;
     // The expected time of its critical path, as of `estimatedAt`.
@@ -292,6 +301,10 @@
     bool allOffersChanged = false;
     // False after a worker was added or removed; the next round then lists the workers anew.
     bool workersListed = false;
+    // The number of runs on trial that count against the limit.
+    std::size_t trialSlots = 0;
+    // When workers at the address were found to have crashed lately, oldest first.
+    std::map<host_address, std::deque<steady_time>> crashesByAddress;
     // When the workers that have exited lately were last heard, oldest exit first.
     std::deque<steady_time> exitedSilentSince;
     round_summary roundSummary;
@@ -324,6 +337,12 @@
 // it.
 void confirmRun(tracked_run &run, worker_time at);
 
+// Returns true when the worker has reported the run for so long that its start crashes no worker.
+bool hasSurvivedStart(const tracked_run &run);
+
+// Ends the trial of a run, if it is on trial.
+void endTrial(dispatch_state &state, const tracked_worker_handle &worker, tracked_run &run);
+
 // Requests another scheduling round.
 void wakeScheduler(dispatch_state &state);
 
--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -110,6 +110,7 @@
     exportExcluded("unanswered", worker_exclusion::unanswered);
     exportExcluded("silent", worker_exclusion::silent);
     exportExcluded("refusing", worker_exclusion::refusing);
+    exportExcluded("on-trial", worker_exclusion::onTrial);
     for (std::size_t kind = 0; kind < taskKindCount; ++kind) {
         const std::string label = std::string("{kind=\"") + kindNames[kind] + "\"}";
         metrics.at("mango_tasks_unplaced" + label) = waiting[kind].count;
@@ -198,6 +199,7 @@
               {"draining", workersExcluded(round, worker_exclusion::draining)},
               {"silent", workersExcluded(round, worker_exclusion::silent)},
               {"refusing", workersExcluded(round, worker_exclusion::refusing)},
+              {"on_trial", workersExcluded(round, worker_exclusion::onTrial)},
               {"unplaced_short", waiting[shortTask].count},
               {"unplaced_best_effort", waiting[bestEffortTask].count},
               {"unplaced_long_running", waiting[longRunningTask].count},
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -9,6 +9,7 @@
 #include "Dispatch/round_report.h"
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/task_placement.h"
+#include "Dispatch/trial_runs.h"
 
 namespace mango {
 
@@ -191,6 +192,9 @@
         if (now > leaseExpiry && !worker->exited) {
             endRunsOfSilentWorker(*state, worker);
         }
+        if (worker->trialSlots > 0 && now - worker->heardAt > timing.renewalSilenceLimit) {
+            releaseTrialSlots(*state, *worker);
+        }
         const bool isObsolete =
                 worker->exited || !worker->current || now - worker->heardAt > timing.forgetAfter;
         if (isObsolete && worker->runs.empty()) {
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -4,6 +4,7 @@
 
 #include "Dispatch/round_report.h"
 #include "Dispatch/straggler_runs.h"
+#include "Dispatch/trial_runs.h"
 
 namespace mango {
 
@@ -263,11 +264,55 @@
     return ready.urgency.isRestart ? ready.tracked->restartsWait : ready.tracked->wait;
 }
 
+namespace {
+
+// Reserves the resources of the chosen offer for a run, and adds the run to its worker and to
+// `started`.
+tracked_run &addPlacedRun(const dispatch_handle &state, round_offers &round,
+                          const ready_step &ready, const placement_request &request,
+                          const run_key &key, placement_reason reason, std::size_t chosen,
+                          begin_runs &started)
+{
+    const job_step &step = *request.step;
+    worker_offer &offer = round.offers[chosen];
+    const tracked_worker_handle &worker = round.workers[chosen];
+    reason.freeMilliCores = step.bestEffort ? reclaimableMilliCores(offer)
+                                            : std::int64_t(offer.record->capacity.milliCores)
+                                                      - offer.used.milliCores;
+    reason.heardAt = worker->heardAt;
+    reason.earlierCrashes = findTask(*ready.committedJob, key.task)->crashRecord.crashes;
+    reserveResources(offer, request);
+    tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
+    added.placement = reason;
+    started.runs.push_back({key, worker->record.incarnation});
+    return added;
+}
+
+} // namespace
+
+bool tryTask(const dispatch_handle &state, round_offers &round, const ready_step &ready,
+             std::uint32_t index, std::uint32_t run, trial_company company, begin_runs &started)
+{
+    const placement_request request = makeRequest(*state, ready, index);
+    const trial_source candidates = [&](std::size_t at) {
+        return trialCandidateOf(*state, *round.workers[at]);
+    };
+    const int chosen = chooseTrialOffer(round.offers, candidates, request, company);
+    if (chosen < 0) {
+        return false;
+    }
+    const auto at = static_cast<std::size_t>(chosen);
+    const run_key key{{ready.job, ready.occurrence, ready.step, index}, run};
+    tracked_run &added = addPlacedRun(state, round, ready, request, key, {"trial"}, at, started);
+    beginTrial(*state, round.workers[at], added);
+    round.offers[at].unavailable = true;
+    return true;
+}
+
 bool placeTask(const dispatch_handle &state, round_offers &round, const ready_step &ready,
                std::uint32_t index, std::uint32_t run, std::optional<offer_ranking> &ranking,
                begin_runs &started)
 {
-    const job_step &step = ready.committedJob->graph.steps[ready.step];
     placement_request request = makeRequest(*state, ready, index);
     offer_choice chosen = request.avoidedWorkers == nullptr
                                   ? chooseRanked(round, request, ranking)
@@ -287,16 +332,9 @@
         recordUnplaced(*state, round, round.offers, ready, request, started.runs.size());
         return false;
     }
-    worker_offer &offer = round.offers[static_cast<std::size_t>(chosen.index)];
-    const tracked_worker_handle &worker = round.workers[static_cast<std::size_t>(chosen.index)];
-    const auto free = step.bestEffort ? reclaimableMilliCores(offer)
-                                      : std::int64_t(offer.record->capacity.milliCores)
-                                                - offer.used.milliCores;
-    reserveResources(offer, request);
     const run_key key{{ready.job, ready.occurrence, ready.step, index}, run};
-    tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
-    added.placement = {reason, chosen.candidates, free, worker->heardAt};
-    started.runs.push_back({key, worker->record.incarnation});
+    addPlacedRun(state, round, ready, request, key, {reason, chosen.candidates},
+                 static_cast<std::size_t>(chosen.index), started);
     if (ranking) {
         request.starved = false;
         returnOffer(*ranking, round.offers, request, static_cast<std::size_t>(chosen.index));
@@ -325,6 +363,16 @@
                 ++at;
                 continue;
             }
+            const trial_outcome trial =
+                    tryIfSuspect(state, round, ready, index, task.lastRun + 1, started);
+            if (trial == trial_outcome::placed) {
+                waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(at));
+                continue;
+            }
+            if (trial == trial_outcome::waits) {
+                ++at;
+                continue;
+            }
             // All tasks of a step need the same resources.
             if (someUnplaced
                 || !placeTask(state, round, ready, index, task.lastRun + 1, ranking, started)) {
--- a/Source/Dispatch/task_placement.h
+++ b/Source/Dispatch/task_placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Dispatch/worker_offers.h"
+#include "Scheduling/crash_trials.h"
 #include "Scheduling/offer_ranking.h"
 
 namespace mango {
@@ -23,6 +24,11 @@
 // Returns true when the task was started before. A start that was refused counts.
 bool isRestart(const task_state &task);
 
+// Starts a run of a task on trial on the worker that would lose least, and false when there is
+// none. The worker takes no other new runs until the run has survived its start.
+bool tryTask(const dispatch_handle &state, round_offers &round, const ready_step &ready,
+             std::uint32_t index, std::uint32_t run, trial_company company, begin_runs &started);
+
 // Chooses a worker for one waiting task and adds the run to `started`; false when no worker meets
 // the constraints. `ranking` serves all tasks of a step; the first call makes it.
 bool placeTask(const dispatch_handle &state, round_offers &round, const ready_step &ready,
--- /dev/null
+++ b/Source/Dispatch/trial_runs.cxx
@@ -0,0 +1,89 @@
+#include "Dispatch/trial_runs.h"
+
+#include "Common/event_log.h"
+#include "Common/log.h"
+#include "Dispatch/crash_tracking.h"
+
+namespace mango {
+
+namespace {
+
+// How long a task waits for a trial. After several crashes it waits for longer, since it is either
+// likely to crash a worker again or has already lost much to others.
+constexpr auto trialWait = std::chrono::milliseconds(500);
+constexpr auto repeatedTrialWait = std::chrono::milliseconds(2000);
+// A worker with runs is heard more often than this.
+constexpr auto unheardAfter = std::chrono::milliseconds(400);
+// With so many crashes, known or possible, a task waits until the possible ones are explained.
+constexpr std::size_t maximumPossibleCrashes = 4;
+
+bool awaitsExplanations(const task_state &task)
+{
+    return !task.unexplained.empty()
+           && task.crashRecord.startCrashes + task.unexplained.size() >= maximumPossibleCrashes;
+}
+
+} // namespace
+
+trial_candidate trialCandidateOf(const dispatch_state &state, const tracked_worker &worker)
+{
+    trial_candidate candidate;
+    candidate.unheard = state.context.clock.now() - worker.heardAt > unheardAfter;
+    candidate.recentCrashes = countRecentCrashes(state, worker.record.address);
+    for (const auto &[key, run] : worker.runs) {
+        if (run.endPending) {
+            continue;
+        }
+        ++candidate.runs;
+        candidate.longRunningRuns += run.longRunning ? 1 : 0;
+        candidate.hasUnsettledRuns = candidate.hasUnsettledRuns || !hasSurvivedStart(run);
+    }
+    return candidate;
+}
+
+bool hasTrialSlot(const dispatch_state &state)
+{
+    return state.trialSlots < maximumTrials(state.workers.size());
+}
+
+void beginTrial(dispatch_state &state, const tracked_worker_handle &worker, tracked_run &run)
+{
+    run.onTrial = true;
+    ++worker->runsOnTrial;
+    ++worker->trialSlots;
+    ++state.trialSlots;
+    markOfferChanged(state, worker);
+    ++state.context.metricsRegistry.at("mango_trials_total");
+}
+
+void releaseTrialSlots(dispatch_state &state, tracked_worker &worker)
+{
+    state.trialSlots -= std::exchange(worker.trialSlots, 0);
+}
+
+trial_outcome tryIfSuspect(const dispatch_handle &state, round_offers &round,
+                           const ready_step &ready, std::uint32_t index, std::uint32_t run,
+                           begin_runs &started)
+{
+    const task_state &task =
+            ready.committedJob->occurrences.at(ready.occurrence).steps[ready.step][index];
+    if (awaitsExplanations(task)) {
+        return trial_outcome::waits;
+    }
+    if (!isSuspect(task.crashRecord)) {
+        return trial_outcome::notNeeded;
+    }
+    const steady_time now = state->context.clock.now();
+    const steady_time since = ready.tracked->trialWaitSince.try_emplace(index, now).first->second;
+    const bool repeated = task.crashRecord.startCrashes > 1;
+    const bool waitedLong = now - since >= (repeated ? repeatedTrialWait : trialWait);
+    const trial_company company = waitedLong ? trial_company::anyRuns : trial_company::settledRuns;
+    const bool mayTry = hasTrialSlot(*state) || (repeated && waitedLong);
+    if (mayTry && tryTask(state, round, ready, index, run, company, started)) {
+        ready.tracked->trialWaitSince.erase(index);
+        return trial_outcome::placed;
+    }
+    return waitedLong ? trial_outcome::notNeeded : trial_outcome::waits;
+}
+
+} // namespace mango
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -30,7 +30,10 @@
     if (now - worker.heardAt >= state.context.timing.silentAfter) {
         return worker_exclusion::silent;
     }
-    return now < worker.refusesUntil ? worker_exclusion::refusing : worker_exclusion::none;
+    if (now < worker.refusesUntil) {
+        return worker_exclusion::refusing;
+    }
+    return worker.runsOnTrial > 0 ? worker_exclusion::onTrial : worker_exclusion::none;
 }
 
 worker_offer makeOffer(const dispatch_state &state, const tracked_worker &worker,
--- a/Source/Dispatch/worker_offers.h
+++ b/Source/Dispatch/worker_offers.h
@@ -19,9 +19,11 @@
     unanswered,
     silent,
     // Refused a request or could not be reached a short time ago.
-    refusing
+    refusing,
+    // A run on trial has not survived its start yet.
+    onTrial
 };
-inline constexpr std::size_t workerExclusionCount = 7;
+inline constexpr std::size_t workerExclusionCount = 8;
 
 // The workers and what they offer to scheduling rounds. It lasts as long as the leadership; a round
 // updates the offers of the workers that have changed, so that its cost does not grow with the
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -20,6 +20,8 @@
 constexpr auto retryPause = std::chrono::milliseconds(250);
 // The pause after a call whose relay failed; the next one uses another relay.
 constexpr auto relayRetryPause = std::chrono::milliseconds(20);
+// The wait for an end on a worker with a run on trial, whose survival is reported in between.
+constexpr auto trialRenewalWait = std::chrono::milliseconds(200);
 // The longest wait for reported ends to be committed before the lease is renewed again.
 constexpr auto commitWaitLimit = std::chrono::milliseconds(300);
 // How often to check whether the leadership is certain again.
@@ -123,6 +125,9 @@
         run.phase = run_phase::running;
     }
     confirmRun(run, report.clock);
+    if (hasSurvivedStart(run)) {
+        endTrial(*state, worker, run);
+    }
     run.reportedAt = state->context.clock.now();
     if (row.progressPercent != run.progressPercent) {
         run.progressedAt = state->context.clock.now();
@@ -248,7 +253,7 @@
             state->context.clock.now() - worker->heardAt < timing.renewalSilenceLimit;
     if (worker->answered && worker->clock && heardRecently) {
         request.deadline = grantDeadline(*state, *worker, timing.workerLease);
-        request.wait = timing.renewalWait;
+        request.wait = worker->runsOnTrial > 0 ? trialRenewalWait : timing.renewalWait;
     }
     request.acknowledgedEnds = worker->lastEndCommitted;
     const auto response =
@@ -377,7 +382,8 @@
                   {"candidates", run.placement.candidates},
                   {"free_milli_cores", run.placement.freeMilliCores},
                   {"seen_ms_ago", heardAgo.count()},
-                  {"resumed", run.resumed ? "yes" : "no"}});
+                  {"resumed", run.resumed ? "yes" : "no"},
+                  {"earlier_crashes", run.placement.earlierCrashes}});
         co_return;
     }
     logEvent(log_part::scheduler, "start-not-confirmed",
--- a/Source/Scheduling/crash_suspects.h
+++ b/Source/Scheduling/crash_suspects.h
@@ -18,6 +18,9 @@
     // How long the worker had reported the run; 0 when it never did.
     std::chrono::milliseconds survivedFor{0};
     bool onTrial = false;
+    // Its start got no answer, and was requested a while after another one that got none. The
+    // worker had probably crashed by then.
+    bool requestedLate = false;
 };
 
 // Returns for each run of a crashed worker whether it may be the cause. Handles single tasks that
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -76,12 +76,33 @@
     }
     worker.running.clear();
     worker.ended.clear();
+    for (const run_key &lost : recorded.runs) {
+        if (gangs.contains(lost.task.job)) {
+            abortGang(lost);
+        }
+    }
     worker.crashesAt.reset();
     worker.unreachable = true;
     worker.replacedAt = m_clock.now() + downTime;
     forgetDoneOn(worker.record.incarnation.id);
 }
 
+void fake_workers::abortGang(const run_key &lost)
+{
+    for (auto &[id, worker] : m_workers) {
+        std::vector<run_key> others;
+        for (const auto &[key, run] : worker.running) {
+            if (key.task.job == lost.task.job && key.task.step == lost.task.step
+                && key.run == lost.run) {
+                others.push_back(key);
+            }
+        }
+        for (const run_key &key : others) {
+            endRun(worker, key, run_outcome::gangAborted);
+        }
+    }
+}
+
 void fake_workers::replaceCrashedWorkers()
 {
     std::vector<std::string> due;
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 #include "Fleet/worker_client.h"
 
@@ -92,6 +93,8 @@
     // True for tasks that crash each worker that starts them, `crashDelay` after the start.
     std::function<bool(const task_key &)> crashesWorker;
     std::chrono::milliseconds crashDelay{10};
+    // Jobs of gangs: the runs of a gang end when one of them ends with its worker.
+    std::set<std::uint64_t> gangs;
     // How long no process answers at the address of a crashed worker.
     std::chrono::milliseconds downTime{3000};
     std::vector<recorded_crash> crashes;
@@ -129,6 +132,7 @@
     void endRun(fake_worker &worker, const run_key &key, run_outcome outcome);
     void finishDueRuns(fake_worker &worker);
     void crash(fake_worker &worker);
+    void abortGang(const run_key &lost);
     void replaceCrashedWorkers();
 
     boost::asio::any_io_executor m_executor;
--- a/Tests/Unit/crash_suspects_test.cxx
+++ b/Tests/Unit/crash_suspects_test.cxx
@@ -84,11 +84,14 @@
 TEST(crash_suspects, areBlamedForTheLossOfARack)
 {
     const steady_time crash = at(seconds(10));
-    const std::vector<steady_time> others{at(milliseconds(9'500)), at(milliseconds(9'900)),
-                                          at(milliseconds(10'400)), at(seconds(2))};
+    std::vector<steady_time> others{at(seconds(2)), at(milliseconds(9'300))};
+    for (int number = 0; number < 5; ++number) {
+        others.push_back(at(milliseconds(9'500 + number * 150)));
+    }
+    EXPECT_FALSE(isCrashBurst(others, crash, 48));
+    others.push_back(crash + milliseconds(250));
     EXPECT_TRUE(isCrashBurst(others, crash, 48));
     EXPECT_FALSE(isCrashBurst(others, crash, 400));
-    EXPECT_FALSE(isCrashBurst({others[0], others[3]}, crash, 48));
 }
 
 } // namespace mango::test
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -207,8 +207,9 @@
             clock.advance(step);
             workers.finishDueRuns();
             for (const std::string &replacement : workers.takeReplacements()) {
-                sendHeartbeat(replacement);
+                m_heartbeatsDue[replacement] = clock.now();
             }
+            sendDueHeartbeats();
         }
     }
 
@@ -273,9 +274,12 @@
     // Sends the heartbeat of a worker to the leader without waiting for its response.
     void sendHeartbeat(const std::string &worker)
     {
-        const auto at = static_cast<std::size_t>(std::max(0, leader()));
+        const auto running = std::find_if(nodes.begin(), nodes.end(), [](const auto &one) {
+            return one != nullptr;
+        });
+        fleet_server &server = leader() >= 0 ? leading() : *running->get()->server;
         boost::asio::co_spawn(*context,
-                              callAt(nodes[at]->server.get(),
+                              callAt(&server,
                                      heartbeat_call{{workers.at(worker).record, ++m_sequence}},
                                      std::make_shared<std::optional<fleet_response>>()),
                               boost::asio::detached);
@@ -322,9 +326,23 @@
         *response = co_await server->serve(std::move(request));
     }
 
+    // Sends the heartbeats of the workers that have taken the place of crashed ones.
+    void sendDueHeartbeats()
+    {
+        constexpr auto interval = std::chrono::seconds(1);
+        for (auto &[worker, due] : m_heartbeatsDue) {
+            if (due <= clock.now() && workers.exists(worker)) {
+                due = clock.now() + interval;
+                sendHeartbeat(worker);
+            }
+        }
+    }
+
     std::size_t m_seedCount;
     std::size_t m_directWorkers;
     std::uint64_t m_sequence = 0;
+    // By worker: when its next heartbeat is due.
+    std::map<std::string, steady_time> m_heartbeatsDue;
 };
 
 } // namespace mango::test
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -37,10 +37,9 @@
         runBesideSoundJobs(seconds(2));
     }
 
-    // Submits a sound job every 100 ms.
-    void runBesideSoundJobs(milliseconds span)
+    // Submits a sound job of two tasks each time the interval has passed.
+    void runBesideSoundJobs(milliseconds span, milliseconds interval = milliseconds(100))
     {
-        constexpr auto interval = milliseconds(100);
         for (milliseconds passed{0}; passed < span; passed += interval) {
             submit(nextJob++, oneStep(2));
             run(interval);
@@ -202,4 +201,155 @@
     }
 }
 
+// A suspect was started beside sound tasks again, on any worker, and beside other suspects.
+TEST(worker_crashes, soundTasksAreLostToTheSecondCrashOfATask)
+{
+    crash_fleet fleet;
+    fleet.submit(crashingJob, fleet_group::oneStep(1));
+    // Some workers are idle at any time.
+    fleet.runBesideSoundJobs(seconds(20), milliseconds(500));
+    ASSERT_EQ(fleet.workers.crashes.size(), 2U);
+    EXPECT_EQ(fleet.workers.crashes[1].runs.size(), 1U);
+    EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
+}
+
+// A worker with a run on trial took other tasks, which were lost with it.
+TEST(worker_crashes, tasksAreStartedBesideARunOnTrial)
+{
+    crash_fleet fleet;
+    fleet.workers.crashDelay = milliseconds(400);
+    fleet.submit(crashingJob, fleet_group::oneStep(1));
+    // Some workers are idle at any time.
+    fleet.runBesideSoundJobs(seconds(20), milliseconds(500));
+    ASSERT_EQ(fleet.workers.crashes.size(), 2U);
+    EXPECT_EQ(fleet.workers.crashes[1].runs.size(), 1U);
+}
+
+// More suspects than the service can try apart must not wait for each other.
+TEST(worker_crashes, manySuspectsDelaySoundWork)
+{
+    crash_fleet fleet;
+    fleet.workers.durationOf = nullptr;
+    fleet.workers.runDuration = seconds(2);
+    const std::uint64_t job = fleet.nextJob++;
+    fleet.submit(job, fleet_group::oneStep(40));
+    fleet.run(milliseconds(100));
+    for (const char *id : {"w0", "w1", "w2", "w3"}) {
+        fleet.workers.crash(id);
+    }
+    // The crashes are known after 3 s, and tasks wait up to 0.5 s for a trial.
+    fleet.run(seconds(3) + milliseconds(1300));
+    EXPECT_GE(fleet.startsOf(job), 40U + 20U);
+    fleet.run(seconds(2) + milliseconds(300));
+    EXPECT_EQ(fleet.phase(job), job_phase::completed);
+}
+
+// The members of a gang start together, so that none of them is tried apart.
+TEST(worker_crashes, gangTakesDownWorkerAfterWorker)
+{
+    crash_fleet fleet;
+    fleet.workers.crashesWorker = [](const task_key &task) {
+        return task.job == crashingJob && task.index == 1;
+    };
+    job_graph graph = fleet_group::oneStep(3);
+    graph.steps[0].gang = true;
+    fleet.workers.gangs.insert(crashingJob);
+    // A gang is done only when none of its members has ended before.
+    fleet.workers.durationOf = [](const run_key &key) {
+        return key.task.job == crashingJob ? seconds(600) : milliseconds(700);
+    };
+    fleet.submit(crashingJob, graph);
+    fleet.runBesideSoundJobs(seconds(60));
+    const auto starts =
+            std::count_if(fleet.workers.starts.begin(), fleet.workers.starts.end(),
+                          [](const recorded_start &start) {
+                              return start.key.task.job == crashingJob && start.key.task.index == 1;
+                          });
+    EXPECT_LE(static_cast<std::size_t>(starts), startBudget);
+    EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
+}
+
+TEST(worker_crashes, longRunningTaskTakesDownWorkerAfterWorker)
+{
+    crash_fleet fleet;
+    job_graph graph = fleet_group::oneStep(1);
+    graph.steps[0].longRunning = true;
+    fleet.submit(crashingJob, graph);
+    fleet.runBesideSoundJobs(seconds(40));
+    EXPECT_LE(fleet.startsOf(crashingJob), startBudget);
+    EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
+}
+
+// A long-running task that lost its workers to other causes over a long time is not given up.
+TEST(worker_crashes, crashesYearsApartEndALongRunningJob)
+{
+    crash_fleet fleet;
+    fleet.workers.durationOf = nullptr;
+    fleet.workers.runDuration = seconds(600);
+    job_graph graph = fleet_group::oneStep(1);
+    graph.steps[0].longRunning = true;
+    fleet.submit(8, graph);
+    for (int time = 0; time < 8; ++time) {
+        fleet.run(seconds(12));
+        fleet.workers.crash(fleet.workers.starts.back().worker);
+        fleet.run(seconds(4));
+    }
+    EXPECT_GE(fleet.startsOf(8), 9U);
+    EXPECT_EQ(fleet.phase(8), job_phase::running);
+}
+
+// The last of the starts is carried out late, and its answer is lost.
+TEST(worker_crashes, startsWithoutAnAnswerCountForNothing)
+{
+    crash_fleet fleet;
+    for (int number = 0; number < 8; ++number) {
+        fleet.workers.at("w" + std::to_string(number)).startDelay = milliseconds(300);
+    }
+    fleet.submit(crashingJob, fleet_group::oneStep(1));
+    fleet.run(seconds(60));
+    EXPECT_LE(fleet.startsOf(crashingJob), startBudget);
+    EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
+}
+
+// Tasks that crash their workers are random among sound ones, and leaders change.
+TEST(worker_crashes, manyCrashingTasksUseUpMoreThanTheirBudgets)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        crash_fleet fleet;
+        seeded_random draw(seed);
+        fleet.workers.crashesWorker = [seed](const task_key &task) {
+            return task.job % 17 == seed;
+        };
+        std::vector<std::uint64_t> accepted;
+        for (int round = 0; round < 100; ++round) {
+            job_graph graph = fleet_group::oneStep(2);
+            graph.steps[0].allowsSpeculativeCopies = draw.below(2) == 0;
+            const std::uint64_t job = fleet.nextJob++;
+            if (fleet.submit(job, graph).outcome == fleet_outcome::accepted) {
+                accepted.push_back(job);
+            }
+            fleet.run(milliseconds(50 + draw.below(100)));
+            if (round == 40 || round == 60) {
+                const auto leader = static_cast<std::size_t>(std::max(0, fleet.leader()));
+                fleet.crash(leader);
+                fleet.run(milliseconds(300));
+                fleet.start(leader, false);
+            }
+        }
+        fleet.run(seconds(60));
+        std::map<task_key, std::size_t> starts;
+        for (const recorded_start &start : fleet.workers.starts) {
+            ++starts[start.key.task];
+        }
+        for (const std::uint64_t job : accepted) {
+            const bool isCulprit = job % 17 == seed;
+            EXPECT_EQ(fleet.phase(job), isCulprit ? job_phase::failed : job_phase::completed)
+                    << "seed " << seed << " job " << job;
+            for (std::uint32_t index = 0; isCulprit && index < 2; ++index) {
+                EXPECT_LE((starts[{job, 0, 0, index}]), startBudget) << "seed " << seed;
+            }
+        }
+    }
+}
+
 } // namespace mango::test
