scheduler: Copy a run whose worker went silent at its start on trial

A crashed worker is silent for seconds before its crash is known. A run that its worker has not reported for 500 ms is now copied on trial only, and not at all once a worker has crashed under its task.

soundTasksAreLostToTheCopyOfACrashingTask and copiesARunThatMayHaveCrashedItsWorkerLikeAnyOther failed before.

--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -4,6 +4,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
+#include "Dispatch/trial_runs.h"
 
 namespace mango {
 
@@ -70,6 +71,7 @@
     progress.allowsSpeculativeCopies = run.allowsSpeculativeCopies;
     progress.checkpoints = run.checkpoints;
     progress.longRunning = run.longRunning;
+    progress.survivedStart = hasSurvivedStart(run);
     return progress;
 }
 
@@ -98,6 +100,8 @@
         progress.triedWorkerCount = tried == step.avoidedWorkers.end()
                                             ? 0
                                             : static_cast<std::uint32_t>(tried->second.size());
+        const task_state *task = findTask(job->second, key.task);
+        progress.isSuspect = task != nullptr && isSuspect(task->crashRecord);
         const run_action action = decideRunAction(progress);
         if (action == run_action::move) {
             step.avoidedWorkers[key.task.index].insert(worker->record.incarnation);
@@ -113,11 +117,10 @@
             requestStop(state, worker, run);
             continue;
         }
-        const task_state *task = findTask(job->second, key.task);
         const auto first = state->workerByRun.lower_bound({key.task, 0});
         const bool onlyRun = std::next(first) == state->workerByRun.end()
                              || std::next(first)->first.task != key.task;
-        if (action != run_action::copy || task == nullptr || task->done || !onlyRun) {
+        if (action == run_action::keep || task == nullptr || task->done || !onlyRun) {
             continue;
         }
         ready_step ready;
@@ -129,11 +132,19 @@
         ready.urgency.longRunning = run.longRunning;
         ready.tracked->avoidedWorkers[key.task.index].insert(worker->record.incarnation);
         std::optional<offer_ranking> ranking;
-        if (placeTask(state, round, ready, key.task.index, task->lastRun + 1, ranking, started)) {
+        const std::uint32_t nextRun = task->lastRun + 1;
+        const bool placed =
+                action == run_action::copyOnTrial
+                        ? hasTrialSlot(*state)
+                                  && tryTask(state, round, ready, key.task.index, nextRun,
+                                             trial_company::settledRuns, started)
+                        : placeTask(state, round, ready, key.task.index, nextRun, ranking, started);
+        if (placed) {
             ++state->context.metricsRegistry.at("mango_speculative_copies_total");
             logEvent(log_part::scheduler, "run-copied",
                      {{"run", toText(key)},
                       {"worker", worker->record.incarnation.id},
+                      {"on_trial", action == run_action::copyOnTrial ? "yes" : "no"},
                       {"percent", run.progressPercent},
                       {"age_ms", progress.age.count()},
                       {"standing_ms", progress.stalledFor.count()},
--- a/Source/Scheduling/run_progress.cxx
+++ b/Source/Scheduling/run_progress.cxx
@@ -64,9 +64,13 @@
     const bool stalled = !run.throttledByScheduler && run.age >= minimumAge && isStalled(run);
     if (run.allowsSpeculativeCopies) {
         const bool unreachable = run.workerSilentFor >= minimumSilence || run.unconfirmed;
-        return unreachable || stalled || (!run.throttledByScheduler && isStraggler(run))
-                       ? run_action::copy
-                       : run_action::keep;
+        if (!unreachable && !stalled && (run.throttledByScheduler || !isStraggler(run))) {
+            return run_action::keep;
+        }
+        if (run.survivedStart) {
+            return run_action::copy;
+        }
+        return run.isSuspect ? run_action::keep : run_action::copyOnTrial;
     }
     // A run cannot be stopped on a silent worker, which does not respond to requests.
     const bool canMove = run.workerSilentFor < minimumSilence && !run.unconfirmed
--- a/Source/Scheduling/run_progress.h
+++ b/Source/Scheduling/run_progress.h
@@ -27,20 +27,28 @@
     bool allowsSpeculativeCopies = false;
     bool checkpoints = false;
     bool longRunning = false;
+    // The worker has reported the run for so long that its start crashes no worker.
+    bool survivedStart = true;
+    // Workers have crashed under the task before.
+    bool isSuspect = false;
 };
 
 enum class run_action : std::uint8_t {
     keep,
     // Start a speculative copy on another worker, if one fits; the first result counts.
     copy,
+    // The same, but on trial: the worker may have been crashed by the run.
+    copyOnTrial,
     // Stop the run and start it again on another worker.
     move
 };
 
 // Returns what to do about a run. Handles short tasks on workers of which some become silent, stall
 // or slow down. A run that is expected to end far later than a new run elsewhere gets a speculative
-// copy where the task allows copies. Otherwise it is moved, but only when it is stalled, because a
-// slow run that makes progress loses nothing.
+// copy where the task allows copies. A worker that has not reported a run for long after its start
+// may have been crashed by it, so that the copy is a trial; a task under which a worker has crashed
+// before gets none then. Other runs are moved, but only when they are stalled, because a slow run
+// that makes progress loses nothing.
 run_action decideRunAction(const run_progress &run);
 
 // Returns true when decideRunAction() certainly returns `keep`. Needs neither the estimate nor the
--- a/Tests/Unit/crash_trials_test.cxx
+++ b/Tests/Unit/crash_trials_test.cxx
@@ -1,11 +1,14 @@
 #include <gtest/gtest.h>
 
 #include "Scheduling/crash_trials.h"
+#include "Scheduling/run_progress.h"
 
 namespace mango::test {
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Three workers of 8 cores, and a request for one core.
 struct trial_fleet
 {
@@ -51,6 +54,16 @@
     interference_model interference;
 };
 
+run_progress silentRun()
+{
+    run_progress run;
+    run.age = milliseconds(1500);
+    run.estimate = milliseconds(500);
+    run.workerSilentFor = milliseconds(1400);
+    run.allowsSpeculativeCopies = true;
+    return run;
+}
+
 } // namespace
 
 TEST(crash_trials, takeTheWorkerThatWouldLoseLeast)
@@ -89,4 +102,16 @@
     EXPECT_EQ(maximumTrials(48), 6U);
 }
 
+TEST(run_progress, copiesARunThatMayHaveCrashedItsWorkerLikeAnyOther)
+{
+    run_progress run = silentRun();
+    EXPECT_EQ(decideRunAction(run), run_action::copy);
+    run.survivedStart = false;
+    EXPECT_EQ(decideRunAction(run), run_action::copyOnTrial);
+    run.isSuspect = true;
+    EXPECT_EQ(decideRunAction(run), run_action::keep);
+    run.survivedStart = true;
+    EXPECT_EQ(decideRunAction(run), run_action::copy);
+}
+
 } // namespace mango::test
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -213,6 +213,22 @@
     EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
 }
 
+// The worker is not known to have crashed when the copy starts.
+TEST(worker_crashes, soundTasksAreLostToTheCopyOfACrashingTask)
+{
+    crash_fleet fleet;
+    job_graph graph = fleet_group::oneStep(1);
+    graph.steps[0].allowsSpeculativeCopies = true;
+    fleet.submit(crashingJob, graph);
+    // Some workers are idle at any time.
+    fleet.runBesideSoundJobs(seconds(20), milliseconds(500));
+    ASSERT_LE(fleet.workers.crashes.size(), 3U);
+    for (std::size_t crash = 1; crash < fleet.workers.crashes.size(); ++crash) {
+        EXPECT_EQ(fleet.workers.crashes[crash].runs.size(), 1U);
+    }
+    EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
+}
+
 // A worker with a run on trial took other tasks, which were lost with it.
 TEST(worker_crashes, tasksAreStartedBesideARunOnTrial)
 {
