fleet: Tell a new leader which runs had survived their starts

Each replica now keeps, in memory, when it applied the begins of the runs in progress and the last end that each worker reported.

newLeadersSuspectTheRunsThatHadSurvived failed before.

--- a/Source/Dispatch/crash_tracking.cxx
+++ b/Source/Dispatch/crash_tracking.cxx
@@ -28,10 +28,8 @@
 run_at_crash knownOf(const tracked_run &run)
 {
     run_at_crash known;
+    known.survivedFor = survivalOf(run);
     known.onTrial = run.onTrial;
-    if (run.firstConfirmedAt) {
-        known.survivedFor = run.lastConfirmedAt - *run.firstConfirmedAt;
-    }
     return known;
 }
 
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -173,10 +173,15 @@
     run.lastConfirmedAt = std::max(run.lastConfirmedAt, at);
 }
 
+std::chrono::milliseconds survivalOf(const tracked_run &run)
+{
+    return run.survivedBefore
+           + (run.firstConfirmedAt ? run.lastConfirmedAt - *run.firstConfirmedAt : worker_time(0));
+}
+
 bool hasSurvivedStart(const tracked_run &run)
 {
-    return run.firstConfirmedAt
-           && run.lastConfirmedAt - *run.firstConfirmedAt >= startSurvivedAfter;
+    return survivalOf(run) >= startSurvivedAfter;
 }
 
 void endTrial(dispatch_state &state, const tracked_worker_handle &worker, tracked_run &run)
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -97,6 +97,8 @@
     worker_time lastConfirmedAt{0};
     // Its worker takes no other new runs until this one has survived its start.
     bool onTrial = false;
+    // How long it had lasted under earlier leaders when its worker last reported an end.
+    std::chrono::milliseconds survivedBefore{0};
     // Whether it may have caused the crash of its worker; nothing while that has not crashed.
     std::optional<crash_blame> blame;
     steady_time startSentAt{};
@@ -337,7 +339,10 @@
 // it.
 void confirmRun(tracked_run &run, worker_time at);
 
-// Returns true when the worker has reported the run for so long that its start crashes no worker.
+// Returns how long the run is known to have lasted on its worker.
+std::chrono::milliseconds survivalOf(const tracked_run &run);
+
+// Returns true when the run has lasted for so long that its start crashes no worker.
 bool hasSurvivedStart(const tracked_run &run);
 
 // Ends the trial of a run, if it is on trial.
--- a/Source/Fleet/fleet_state_machine.cxx
+++ b/Source/Fleet/fleet_state_machine.cxx
@@ -11,6 +11,11 @@
     if (!decodeFleetCommand(payload, change)) {
         return std::nullopt;
     }
+    if (const auto *begun = std::get_if<begin_runs>(&change)) {
+        noteBegins(m_sightings, *begun, m_clock.now());
+    } else if (const auto *ended = std::get_if<end_runs>(&change)) {
+        noteEnds(m_sightings, m_state, *ended, m_clock.now());
+    }
     const fleet_command_result outcome = mango::apply(m_state, change);
     if (const auto *submitted = std::get_if<submit_job>(&change)) {
         m_knownSince.try_emplace(submitted->job, m_clock.now());
@@ -18,6 +23,9 @@
     if (m_observer) {
         m_observer(change, outcome);
     }
+    if (std::holds_alternative<remove_worker>(change)) {
+        forgetWorkers(m_sightings, m_state);
+    }
     // Finished jobs need no entry. Sweep only when most entries are of finished jobs, so that the
     // cost is amortized.
     if (m_knownSince.size() > 2 * m_state.jobs.size() + 1000) {
@@ -40,6 +48,7 @@
         return false;
     }
     m_state = std::move(loaded);
+    m_sightings = {};
     for (const auto &[job, content] : m_state.jobs) {
         m_knownSince.try_emplace(job, m_clock.now());
     }
--- a/Source/Fleet/fleet_state_machine.h
+++ b/Source/Fleet/fleet_state_machine.h
@@ -3,7 +3,7 @@
 #include <functional>
 
 #include "Consensus/replica.h"
-#include "Fleet/fleet_state.h"
+#include "Fleet/run_sightings.h"
 
 namespace mango {
 
@@ -32,10 +32,17 @@
     // unknown job. Not replicated, so replicas differ; use it only to order work.
     [[nodiscard]] steady_time knownSince(std::uint64_t job) const;
 
+    // What this process has seen of the runs in progress. Not replicated.
+    [[nodiscard]] const run_sightings &sightings() const
+    {
+        return m_sightings;
+    }
+
 private:
     const clock_source &m_clock;
     fleet_state m_state;
     std::map<std::uint64_t, steady_time> m_knownSince;
+    run_sightings m_sightings;
     observer m_observer;
 };
 
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -327,6 +327,32 @@
     EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
 }
 
+// A new leader took all runs of a worker that had crashed under the one before for suspects.
+TEST(worker_crashes, newLeadersSuspectTheRunsThatHadSurvived)
+{
+    crash_fleet fleet;
+    fleet.workers.durationOf = [](const run_key &key) {
+        return key.task.job == 9 ? seconds(8) : milliseconds(300);
+    };
+    fleet.submit(9, fleet_group::oneStep(16));
+    fleet.runBesideSoundJobs(seconds(3));
+    fleet.submit(crashingJob, fleet_group::oneStep(1));
+    fleet.run(milliseconds(100));
+    ASSERT_EQ(fleet.workers.crashes.size(), 1U);
+    const recorded_crash crash = fleet.workers.crashes[0];
+    fleet.crash(static_cast<std::size_t>(fleet.leader()));
+    fleet.run(seconds(6));
+    const auto survivor =
+            std::find_if(crash.runs.begin(), crash.runs.end(), [](const run_key &run) {
+                return run.task.job == 9;
+            });
+    ASSERT_NE(survivor, crash.runs.end());
+    const auto &jobs = fleet.leading().state().jobs;
+    EXPECT_EQ(findTask(jobs.at(9), survivor->task)->crashRecord.crashes, 1U);
+    EXPECT_EQ(findTask(jobs.at(9), survivor->task)->crashRecord.startCrashes, 0U);
+    EXPECT_EQ(findTask(jobs.at(crashingJob), {crashingJob, 0, 0, 0})->crashRecord.startCrashes, 1U);
+}
+
 // Tasks that crash their workers are random among sound ones, and leaders change.
 TEST(worker_crashes, manyCrashingTasksUseUpMoreThanTheirBudgets)
 {
