jobs: Tell callers why a job has failed

A caller whose job was given up saw failed and no reason. The state of a failed job now carries one: the task and how often it failed, or how many workers crashed under it; the line job-over and mango_jobs_failed_total carry the kind. The reason is kept as long as the phase.

callerIsNotToldWhyAJobWasGivenUp and encodesWhyAJobHasFailed.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -110,6 +110,10 @@
     response.phase = resolved.job ? phaseOf(committed, *resolved.job) : std::nullopt;
     if (!response.phase) {
         response.outcome = fleet_outcome::unknownJob;
+        co_return response;
+    }
+    if (const job_failure_report *failure = failureOf(committed, *resolved.job)) {
+        response.text = describe(*failure);
     }
     co_return response;
 }
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -82,11 +82,19 @@
     }
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
             state.context.clock.now() - tracked->second.knownSince);
+    const job_failure_report *failure = failureOf(state.context.machine.state(), number);
+    const std::string why = toText(failure == nullptr ? job_failure::none : failure->failure);
     logEvent(log_part::scheduler, "job-over",
              {{"job", formatJobId(number)},
               {"queue", tracked->second.queue},
               {"phase", toText(*phase)},
-              {"age_ms", age.count()}});
+              {"age_ms", age.count()},
+              {"failure", why},
+              {"task", failure == nullptr ? "none" : toText(failure->task)},
+              {"count", failure == nullptr ? 0 : failure->count}});
+    if (failure != nullptr) {
+        ++state.context.metricsRegistry.at("mango_jobs_failed_total{failure=\"" + why + "\"}");
+    }
 }
 
 void addJob(dispatch_state &state, std::uint64_t number, const job_state &job)
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -19,9 +19,13 @@
     }
     state.finished[number] = found->second.phase;
     state.finishedOrder.push_back(number);
+    if (found->second.phase == job_phase::failed) {
+        state.failures[number] = found->second.failure;
+    }
     state.jobs.erase(found);
     while (state.finishedOrder.size() > maximumFinishedJobs) {
         state.finished.erase(state.finishedOrder.front());
+        state.failures.erase(state.finishedOrder.front());
         state.finishedOrder.pop_front();
     }
 }
@@ -153,6 +157,15 @@
     return std::nullopt;
 }
 
+const job_failure_report *failureOf(const fleet_state &state, std::uint64_t job)
+{
+    if (const auto open = state.jobs.find(job); open != state.jobs.end()) {
+        return open->second.phase == job_phase::failed ? &open->second.failure : nullptr;
+    }
+    const auto over = state.failures.find(job);
+    return over == state.failures.end() ? nullptr : &over->second;
+}
+
 std::uint64_t countQueuedJobs(const fleet_state &state, const queue_route &route)
 {
     std::uint64_t count = 0;
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -200,13 +200,15 @@
     // Final phases of the most recent other jobs, and the order in which those jobs ended.
     std::map<std::uint64_t, job_phase> finished;
     std::deque<std::uint64_t> finishedOrder;
+    // Why those of them failed that did.
+    std::map<std::uint64_t, job_failure_report> failures;
     std::vector<pressure_record> pressures;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(configuration, domainsOutOfService, workers, jobs, finished, finishedOrder,
-                pressures);
+                failures, pressures);
     }
 };
 
@@ -216,6 +218,9 @@
 // Returns the phase of a job; nullopt when the job is unknown.
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job);
 
+// Returns why a job has failed; null when it has not, or is unknown.
+const job_failure_report *failureOf(const fleet_state &state, std::uint64_t job);
+
 // Returns the number of jobs of a queue of which no task has been started yet.
 std::uint64_t countQueuedJobs(const fleet_state &state, const queue_route &route);
 
--- a/Source/Jobs/job_graph.cxx
+++ b/Source/Jobs/job_graph.cxx
@@ -36,11 +36,15 @@
     return job;
 }
 
+std::string toText(const task_key &key)
+{
+    return formatJobId(key.job) + "." + std::to_string(key.occurrence) + "."
+           + std::to_string(key.step) + "." + std::to_string(key.index);
+}
+
 std::string toText(const run_key &key)
 {
-    return formatJobId(key.task.job) + "." + std::to_string(key.task.occurrence) + "."
-           + std::to_string(key.task.step) + "." + std::to_string(key.task.index) + "/"
-           + std::to_string(key.run);
+    return toText(key.task) + "/" + std::to_string(key.run);
 }
 
 std::string describe(const graph_failure &failure)
--- a/Source/Jobs/job_graph.h
+++ b/Source/Jobs/job_graph.h
@@ -138,6 +138,9 @@
 // Parses a job id; nullopt unless the text consists of exactly 16 hexadecimal digits.
 std::optional<std::uint64_t> parseJobId(const std::string &text);
 
+// Formats a task as JOB.OCCURRENCE.STEP.INDEX.
+std::string toText(const task_key &key);
+
 // Formats a run as JOB.OCCURRENCE.STEP.INDEX/RUN for log lines.
 std::string toText(const run_key &key);
 
--- a/Source/Jobs/job_records.cxx
+++ b/Source/Jobs/job_records.cxx
@@ -62,19 +62,19 @@
     }
 }
 
-void fail(job_state &job, job_failure failure)
+void fail(job_state &job, const job_failure_report &report)
 {
     if (isOpen(job)) {
         job.phase = job_phase::failed;
-        job.failure = failure;
+        job.failure = report;
     }
 }
 
-void addCrash(job_state &job, task_state &task, crash_blame blame)
+void addCrash(job_state &job, task_state &task, const task_key &key, crash_blame blame)
 {
     recordCrash(task.crashRecord, blame);
     if (!task.done && isProvenCulprit(task.crashRecord)) {
-        fail(job, job_failure::workerCrashes);
+        fail(job, {job_failure::workerCrashes, key, task.crashRecord.crashes});
     }
 }
 
@@ -111,6 +111,19 @@
     return names[static_cast<int>(failure)];
 }
 
+std::string describe(const job_failure_report &report)
+{
+    switch (report.failure) {
+    case job_failure::none:
+        return "";
+    case job_failure::taskFailures:
+        return "task " + toText(report.task) + " failed " + std::to_string(report.count) + " times";
+    case job_failure::workerCrashes:
+        return std::to_string(report.count) + " workers crashed under task " + toText(report.task);
+    }
+    return "";
+}
+
 job_state makeJob(queue_parameters queueParameters, job_graph graph)
 {
     job_state job;
@@ -188,10 +201,10 @@
         task_state &holder = failureCountingTask(occurrence, step, key.task);
         ++holder.failures;
         if (holder.failures >= job.queueParameters.maximumFailures) {
-            fail(job, job_failure::taskFailures);
+            fail(job, {job_failure::taskFailures, key.task, holder.failures});
         }
     } else if (outcome == run_outcome::workerCrashed) {
-        addCrash(job, *task, blame);
+        addCrash(job, *task, key.task, blame);
     } else if (outcome == run_outcome::workerSilent) {
         addUnexplained(*task, ended);
     }
@@ -212,7 +225,7 @@
         return false;
     }
     if (blame) {
-        addCrash(job, *task, *blame);
+        addCrash(job, *task, key.task, *blame);
     }
     return true;
 }
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -119,9 +119,27 @@
     workerCrashes
 };
 
-// Returns the name of the failure in responses and log lines.
+// Returns the name of the failure in log lines.
 std::string toText(job_failure failure);
 
+// Why a job has failed, and by which task.
+struct job_failure_report
+{
+    job_failure failure = job_failure::none;
+    task_key task;
+    // The runs of the task that failed, or the workers that crashed under it.
+    std::uint32_t count = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(failure, task, count);
+    }
+};
+
+// Returns the report for the caller of the job.
+std::string describe(const job_failure_report &report);
+
 // Tasks of one occurrence, indexed by step and then by task.
 struct job_occurrence
 {
@@ -140,7 +158,7 @@
     queue_parameters queueParameters;
     job_graph graph;
     job_phase phase = job_phase::queued;
-    job_failure failure = job_failure::none;
+    job_failure_report failure;
     // All occurrences by number.
     std::map<std::uint32_t, job_occurrence> occurrences;
 
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -156,7 +156,7 @@
     std::chrono::milliseconds retryAfter{0};
     std::optional<job_phase> phase;
     std::optional<std::uint64_t> waiting;
-    // The text of the configuration, or the reason why the call was rejected.
+    // The text of the configuration, or the reason why the call was rejected or the job has failed.
     std::string text;
     // The leader's address for calls between processes; empty when unknown.
     host_address leader;
--- a/Tests/Unit/platform_codec_test.cxx
+++ b/Tests/Unit/platform_codec_test.cxx
@@ -133,6 +133,13 @@
     EXPECT_EQ(job->schedule->interval, milliseconds(200));
 }
 
+TEST(platform_codec, encodesWhyAJobHasFailed)
+{
+    EXPECT_EQ(encodeJobState(job_phase::completed, ""), R"({"state":"completed"})");
+    EXPECT_EQ(encodeJobState(job_phase::failed, "task 1 failed"),
+              R"({"state":"failed","reason":"task 1 failed"})");
+}
+
 TEST(platform_codec, namesTheInvalidFieldOfAJob)
 {
     const auto invalidFieldOf = [](const std::string &body) {
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -69,6 +69,17 @@
     EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
 }
 
+TEST(worker_crashes, callerIsNotToldWhyAJobWasGivenUp)
+{
+    crash_fleet fleet;
+    fleet.submit(crashingJob, fleet_group::oneStep(1));
+    fleet.runBesideSoundJobs(seconds(20));
+    const fleet_response response =
+            fleet.call(query_call{"h.example", "/price/" + formatJobId(crashingJob)});
+    EXPECT_EQ(response.phase, job_phase::failed);
+    EXPECT_EQ(response.text, "2 workers crashed under task 0000000000000007.0.0.0");
+}
+
 // The same with copies: the workers are silent before they are known to have crashed.
 TEST(worker_crashes, copiesOfACrashingTaskTakeDownWorkerAfterWorker)
 {
