jobs: Give a task up only on crashes that it can hardly have in common with others

Causes: a start without an answer counted as a crash under the task; a trial counted as survived only when the next long poll was answered, up to 1 s later, so that the next wave was put down to it; tasks with several uncertain crashes were started beside others again.

The record of a task now tells confirmed crashes from starts of earlier leaders and from requests without an answer, and trials from other runs. A worker with a trial reports every 100 ms. Two crashes suffice only if the worker with the trial crashed within 150 ms of the start and nothing else explains it; three with two trials, four soon after a start, five in all otherwise. Strong suspects start on trial only.

--- a/Source/Dispatch/crash_tracking.cxx
+++ b/Source/Dispatch/crash_tracking.cxx
@@ -30,6 +30,9 @@
     run_at_crash known;
     known.survivedFor = survivalOf(run);
     known.onTrial = run.onTrial;
+    if (!run.firstConfirmedAt) {
+        known.confirmation = run.adopted ? run_confirmation::unknown : run_confirmation::unanswered;
+    }
     return known;
 }
 
@@ -73,7 +76,8 @@
 {
     steady_time first = steady_time::max() - lateRequestAfter;
     for (const auto &[key, run] : worker.runs) {
-        if (run.phase != run_phase::planned && !run.endPending && !run.firstConfirmedAt) {
+        if (run.phase != run_phase::planned && !run.endPending && !run.firstConfirmedAt
+            && !run.adopted) {
             first = std::min(first, run.startSentAt);
         }
     }
@@ -87,10 +91,11 @@
     std::vector<run_at_crash> known;
     const steady_time lateSince = lateRequestsSince(*worker);
     for (auto &[key, run] : worker->runs) {
-        if (run.phase != run_phase::planned && !run.endPending) {
+        const bool requestedLate =
+                !run.firstConfirmedAt && !run.adopted && run.startSentAt > lateSince;
+        if (run.phase != run_phase::planned && !run.endPending && !requestedLate) {
             runs.push_back(&run);
             known.push_back(knownOf(run));
-            known.back().requestedLate = !run.firstConfirmedAt && run.startSentAt > lateSince;
         }
     }
     for (const silenced_run &silenced : worker->silencedRuns) {
@@ -214,7 +219,9 @@
 {
     for (const active_run &run : task.unexplained) {
         if (const tracked_worker_handle worker = findWorker(state, run.worker)) {
-            worker->silencedRuns.push_back({{key, run.run}, {}});
+            worker->silencedRuns.push_back(
+                    {{key, run.run},
+                     {std::chrono::milliseconds(0), false, run_confirmation::unknown}});
         }
     }
 }
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -238,7 +238,7 @@
     const bool crashed = outcome == run_outcome::lost && run.blame;
     outcome = crashed ? run_outcome::workerCrashed : outcome;
     state.pendingEnds.push_back(
-            {run.key, outcome, checkpoint, run.blame.value_or(crash_blame::bystander)});
+            {run.key, outcome, checkpoint, run.blame.value_or(crash_blame::possible)});
     reportRunEnd(state, *worker, run, outcome);
     wakeScheduler(state);
 }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -97,6 +97,8 @@
     worker_time lastConfirmedAt{0};
     // Its worker takes no other new runs until this one has survived its start.
     bool onTrial = false;
+    // An earlier leader has requested its start.
+    bool adopted = false;
     // How long it had lasted under earlier leaders when its worker last reported an end.
     std::chrono::milliseconds survivedBefore{0};
     // Whether it may have caused the crash of its worker; nothing while that has not crashed.
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -152,6 +152,7 @@
                     tracked_run &tracked = addRun(*state, worker, key, job.graph.steps[step],
                                                   run_phase::unconfirmed);
                     tracked.checkpoint = occurrence.steps[step][index].checkpoint;
+                    tracked.adopted = true;
                     tracked.survivedBefore =
                             survivalOf(state->context.machine.sightings(), key, run.worker);
                 }
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -20,8 +20,7 @@
 constexpr auto retryPause = std::chrono::milliseconds(250);
 // The pause after a call whose relay failed; the next one uses another relay.
 constexpr auto relayRetryPause = std::chrono::milliseconds(20);
-// The wait for an end on a worker with a run on trial, whose survival is reported in between.
-constexpr auto trialRenewalWait = std::chrono::milliseconds(200);
+constexpr auto trialReportInterval = std::chrono::milliseconds(100);
 // The longest wait for reported ends to be committed before the lease is renewed again.
 constexpr auto commitWaitLimit = std::chrono::milliseconds(300);
 // How often to check whether the leadership is certain again.
@@ -253,7 +252,7 @@
             state->context.clock.now() - worker->heardAt < timing.renewalSilenceLimit;
     if (worker->answered && worker->clock && heardRecently) {
         request.deadline = grantDeadline(*state, *worker, timing.workerLease);
-        request.wait = worker->runsOnTrial > 0 ? trialRenewalWait : timing.renewalWait;
+        request.wait = timing.renewalWait;
     }
     request.acknowledgedEnds = worker->lastEndCommitted;
     const auto response =
@@ -281,6 +280,20 @@
     co_return true;
 }
 
+// Has the worker report at once, beside the renewal that may be waiting for an end.
+asio::awaitable<void> requestReport(dispatch_handle state, tracked_worker_handle worker)
+{
+    renew_lease_request request;
+    request.acknowledgedEnds = worker->lastEndCommitted;
+    const auto response =
+            co_await state->context.workers.renewLease(targetOf(*state, *worker), request);
+    const auto *report = std::get_if<worker_report>(&response);
+    if (report != nullptr && state->active
+        && report->startTime == worker->record.incarnation.startTime) {
+        processReport(state, worker, *report);
+    }
+}
+
 bool isSessionOver(const dispatch_state &state, const tracked_worker &worker)
 {
     return !state.active || worker.exited || !worker.current;
@@ -319,17 +332,27 @@
     if (isSessionOver(*state, *worker) || !holdsLeadership(*state) || !worker->runs.contains(key)) {
         co_return;
     }
-    renew_lease_request request;
-    request.acknowledgedEnds = worker->lastEndCommitted;
-    const auto response =
-            co_await state->context.workers.renewLease(targetOf(*state, *worker), request);
-    const auto *report = std::get_if<worker_report>(&response);
-    if (report != nullptr && state->active
-        && report->startTime == worker->record.incarnation.startTime) {
-        processReport(state, worker, *report);
+    co_await requestReport(state, worker);
+}
+
+namespace {
+
+// Requests reports while a run is on trial, which tell how long it has survived.
+asio::awaitable<void> watchTrial(dispatch_handle state, tracked_worker_handle worker, run_key key)
+{
+    while (true) {
+        co_await state->context.clock.sleepFor(trialReportInterval);
+        const auto found = worker->runs.find(key);
+        if (found == worker->runs.end() || !found->second.onTrial || isSessionOver(*state, *worker)
+            || !holdsLeadership(*state)) {
+            co_return;
+        }
+        co_await requestReport(state, worker);
     }
 }
 
+} // namespace
+
 asio::awaitable<void> sendStart(dispatch_handle state, tracked_worker_handle worker, run_key key)
 {
     const auto found = worker->runs.find(key);
@@ -371,6 +394,9 @@
             run.phase = run_phase::running;
         }
         confirmRun(run, response.clock.value_or(run.startDeadline));
+        if (run.onTrial) {
+            asio::co_spawn(state->context.executor, watchTrial(state, worker, key), asio::detached);
+        }
         ++state->context.metricsRegistry.at("mango_runs_started_total");
         recordFirstStart(*state, key.task.job);
         const auto heardAgo = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -121,7 +121,7 @@
         run_outcome outcome = run_outcome::done;
         std::string checkpoint;
         // Of a run whose worker crashed.
-        crash_blame blame = crash_blame::bystander;
+        crash_blame blame = crash_blame::possible;
 
         template<class Archive>
         void serialize(Archive &archive)
--- a/Source/Jobs/crash_record.h
+++ b/Source/Jobs/crash_record.h
@@ -11,9 +11,15 @@
     cleared,
     // It had survived its start, as far as the worker reported.
     bystander,
-    // It had begun shortly before, and so had others, or the crash may have had another cause.
+    // Its start request was not answered, so that the worker had probably crashed before.
+    unanswered,
+    // An earlier leader had it started, so that the worker had probably begun it.
+    possible,
+    // It had begun shortly before, and so had others.
     shared,
-    // It was on trial, and nothing else can have caused the crash.
+    // It was on trial, so that no other run is to blame, but the crash may have had another cause.
+    likely,
+    // The same, and it had begun so shortly before that another cause would be a rare coincidence.
     sole
 };
 
@@ -25,17 +31,24 @@
 {
     // Workers that crashed while they had a run of the task.
     std::uint32_t crashes = 0;
-    // Those that crashed shortly after the run had begun.
+    // Those of them that crashed shortly after the run had begun.
     std::uint32_t startCrashes = 0;
-    // Those in which the run alone was to blame.
+    // Those of them that had the run on trial.
+    std::uint32_t trialCrashes = 0;
+    // Those of them in which the run alone was to blame.
     std::uint32_t soleCrashes = 0;
+    // Workers that crashed, of which is not known whether they had begun a run of the task that an
+    // earlier leader, or this one, had requested.
+    std::uint32_t possibleCrashes = 0;
+    std::uint32_t unansweredCrashes = 0;
 
     bool operator==(const crash_record &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(crashes, startCrashes, soleCrashes);
+        archive(crashes, startCrashes, trialCrashes, soleCrashes, possibleCrashes,
+                unansweredCrashes);
     }
 };
 
@@ -46,10 +59,15 @@
 // crash a worker.
 bool isSuspect(const crash_record &record);
 
+// Returns true when one more crash beside other runs could end the job of a sound task, so that the
+// next run has to be a trial.
+bool isStrongSuspect(const crash_record &record);
+
 // Returns true when no further run of the task may be started. Guards a service against tasks that
-// crash the workers that start them. Takes two crashes when the last one can be put down to the
-// task; tasks that merely shared the workers of others are given up only after more crashes than
-// other causes plausibly bring, and before the platform's limit of three crashes and two more runs.
+// crash the workers that start them. Two crashes suffice when one of them can hardly have another
+// cause, three when two of them happened on trial. Tasks that merely shared the workers of others
+// are given up only after more crashes than other causes plausibly bring, and before the platform's
+// limit of three crashes and two more runs.
 bool isProvenCulprit(const crash_record &record);
 
 } // namespace mango
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -193,7 +193,7 @@
 // active. A non-empty checkpoint replaces that of the task. `blame` tells, for a run whose worker
 // crashed, whether it may be the cause.
 bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint,
-            crash_blame blame = crash_blame::bystander);
+            crash_blame blame = crash_blame::possible);
 
 // Records what became known of a run that ended with the silence of its worker: the blame for the
 // worker's crash, or nothing when the worker has not crashed. Returns false when the run is not
--- a/Source/Scheduling/crash_suspects.cxx
+++ b/Source/Scheduling/crash_suspects.cxx
@@ -8,7 +8,10 @@
 
 // A run that was reported for longer clears its task of earlier suspicions.
 constexpr auto clearedAfter = std::chrono::seconds(10);
-// A worker on trial is heard every 200 ms, others when a run ends, so that simultaneous crashes
+// A worker that crashes within this time after the start of the only suspect was hardly ended by
+// another cause.
+constexpr auto coincidenceLimit = std::chrono::milliseconds(150);
+// A worker with a trial is heard every 100 ms, others when a run ends, so that simultaneous crashes
 // appear this far apart.
 constexpr auto burstBefore = std::chrono::milliseconds(600);
 constexpr auto burstAfter = std::chrono::milliseconds(300);
@@ -16,24 +19,36 @@
 // The smallest share of the workers that counts as a burst, as a divisor.
 constexpr std::size_t burstDivisor = 8;
 
+crash_blame blameOf(const run_at_crash &run, bool onlyUnsettled, bool otherCause)
+{
+    if (run.survivedFor >= clearedAfter) {
+        return crash_blame::cleared;
+    }
+    if (run.survivedFor >= startSurvivedAfter) {
+        return crash_blame::bystander;
+    }
+    if (run.confirmation != run_confirmation::confirmed) {
+        return run.confirmation == run_confirmation::unknown ? crash_blame::possible
+                                                             : crash_blame::unanswered;
+    }
+    if (!run.onTrial || !onlyUnsettled) {
+        return crash_blame::shared;
+    }
+    return run.survivedFor < coincidenceLimit && !otherCause ? crash_blame::sole
+                                                             : crash_blame::likely;
+}
+
 } // namespace
 
 std::vector<crash_blame> assignBlame(const std::vector<run_at_crash> &runs, bool otherCause)
 {
     const auto unsettled = std::count_if(runs.begin(), runs.end(), [](const run_at_crash &run) {
-        return run.survivedFor < startSurvivedAfter && !run.requestedLate;
+        return run.survivedFor < startSurvivedAfter;
     });
     std::vector<crash_blame> blames;
     blames.reserve(runs.size());
     for (const run_at_crash &run : runs) {
-        if (run.survivedFor >= clearedAfter) {
-            blames.push_back(crash_blame::cleared);
-        } else if (run.survivedFor >= startSurvivedAfter || run.requestedLate) {
-            blames.push_back(crash_blame::bystander);
-        } else {
-            blames.push_back(unsettled == 1 && run.onTrial && !otherCause ? crash_blame::sole
-                                                                          : crash_blame::shared);
-        }
+        blames.push_back(blameOf(run, unsettled == 1, otherCause));
     }
     return blames;
 }
--- a/Source/Scheduling/crash_suspects.h
+++ b/Source/Scheduling/crash_suspects.h
@@ -12,15 +12,22 @@
 // A run has survived its start once its worker has reported it for this long.
 inline constexpr auto startSurvivedAfter = std::chrono::milliseconds(500);
 
+enum class run_confirmation : std::uint8_t {
+    confirmed,
+    // The start was requested by an earlier leader, which may have been told.
+    unknown,
+    // The start request got no answer.
+    unanswered
+};
+
 // A run that was on a worker when the worker crashed.
 struct run_at_crash
 {
     // How long the worker had reported the run; 0 when it never did.
     std::chrono::milliseconds survivedFor{0};
     bool onTrial = false;
-    // Its start got no answer, and was requested a while after another one that got none. The
-    // worker had probably crashed by then.
-    bool requestedLate = false;
+    // Whether the worker has confirmed that it had begun the run.
+    run_confirmation confirmation = run_confirmation::confirmed;
 };
 
 // Returns for each run of a crashed worker whether it may be the cause. Handles single tasks that
