jobs: Blame a task alone only when all of its crashes followed at once

Four of the six sound jobs that ordinary crashes still ended had once crashed with a worker some 300 to 500 ms after a start, and by coincidence just after the start of the trial. A trial now decides only if an earlier crash followed the start as closely; three crashes with two trials, or four, decide otherwise. Strong suspects wait up to 5 s for a trial of their own.

--- a/Source/Dispatch/trial_runs.cxx
+++ b/Source/Dispatch/trial_runs.cxx
@@ -11,7 +11,7 @@
 // How long a task waits for a trial. After several crashes it waits for longer, since it is either
 // likely to crash a worker again or has already lost much to others.
 constexpr auto trialWait = std::chrono::milliseconds(500);
-constexpr auto repeatedTrialWait = std::chrono::milliseconds(2000);
+constexpr auto repeatedTrialWait = std::chrono::milliseconds(5000);
 // A worker with runs is heard more often than this.
 constexpr auto unheardAfter = std::chrono::milliseconds(400);
 // With so many crashes, known or possible, a task waits until the possible ones are explained.
--- a/Source/Jobs/crash_record.cxx
+++ b/Source/Jobs/crash_record.cxx
@@ -21,7 +21,7 @@
 std::string toText(crash_blame blame)
 {
     static constexpr const char *names[] = {"cleared", "bystander", "unanswered", "possible",
-                                            "shared",  "likely",    "sole"};
+                                            "shared",  "immediate", "likely",     "sole"};
     return names[static_cast<int>(blame)];
 }
 
@@ -37,18 +37,21 @@
     case crash_blame::possible:
         ++record.possibleCrashes;
         return;
-    case crash_blame::sole:
-        ++record.soleCrashes;
-        [[fallthrough]];
-    case crash_blame::likely:
-        ++record.trialCrashes;
-        [[fallthrough]];
-    case crash_blame::shared:
-        ++record.startCrashes;
-        [[fallthrough]];
     case crash_blame::bystander:
         ++record.crashes;
+        return;
+    case crash_blame::shared:
+    case crash_blame::immediate:
+    case crash_blame::likely:
+    case crash_blame::sole:
+        break;
     }
+    const bool alone = blame == crash_blame::sole;
+    ++record.crashes;
+    ++record.startCrashes;
+    record.immediateCrashes += alone || blame == crash_blame::immediate ? 1 : 0;
+    record.trialCrashes += alone || blame == crash_blame::likely ? 1 : 0;
+    record.soleCrashes += alone ? 1 : 0;
 }
 
 bool isSuspect(const crash_record &record)
@@ -66,7 +69,7 @@
 bool isProvenCulprit(const crash_record &record)
 {
     const bool proven =
-            (record.soleCrashes > 0 && record.startCrashes >= crashesWithSoleBlame)
+            (record.soleCrashes > 0 && record.immediateCrashes >= crashesWithSoleBlame)
             || (record.trialCrashes >= trialsAmongThem && record.startCrashes >= crashesWithTrials);
     const std::uint32_t possible = record.possibleCrashes;
     const bool neverTried = record.trialCrashes == 0;
--- a/Source/Jobs/crash_record.h
+++ b/Source/Jobs/crash_record.h
@@ -17,9 +17,11 @@
     possible,
     // It had begun shortly before, and so had others.
     shared,
+    // The same, and it had begun immediately before.
+    immediate,
     // It was on trial, so that no other run is to blame, but the crash may have had another cause.
     likely,
-    // The same, and it had begun so shortly before that another cause would be a rare coincidence.
+    // The same, but it had begun immediately before, so that another cause would be a coincidence.
     sole
 };
 
@@ -33,9 +35,11 @@
     std::uint32_t crashes = 0;
     // Those of them that crashed shortly after the run had begun.
     std::uint32_t startCrashes = 0;
-    // Those of them that had the run on trial.
+    // Those of them that crashed immediately after it.
+    std::uint32_t immediateCrashes = 0;
+    // Those of the start crashes that had the run on trial.
     std::uint32_t trialCrashes = 0;
-    // Those of them in which the run alone was to blame.
+    // Those of the trials in which the run alone was to blame.
     std::uint32_t soleCrashes = 0;
     // Workers that crashed, of which is not known whether they had begun a run of the task that an
     // earlier leader, or this one, had requested.
@@ -47,7 +51,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(crashes, startCrashes, trialCrashes, soleCrashes, possibleCrashes,
+        archive(crashes, startCrashes, immediateCrashes, trialCrashes, soleCrashes, possibleCrashes,
                 unansweredCrashes);
     }
 };
@@ -64,10 +68,10 @@
 bool isStrongSuspect(const crash_record &record);
 
 // Returns true when no further run of the task may be started. Guards a service against tasks that
-// crash the workers that start them. Two crashes suffice when one of them can hardly have another
-// cause, three when two of them happened on trial. Tasks that merely shared the workers of others
-// are given up only after more crashes than other causes plausibly bring, and before the platform's
-// limit of three crashes and two more runs.
+// crash the workers that start them. Two crashes immediately after the start suffice when one of
+// them happened on trial and has no other explanation, three when two of them happened on trial.
+// Tasks that merely shared the workers of others are given up only after more crashes than other
+// causes plausibly bring, and before the platform's limit of three crashes and two more runs.
 bool isProvenCulprit(const crash_record &record);
 
 } // namespace mango
--- a/Source/Scheduling/crash_suspects.cxx
+++ b/Source/Scheduling/crash_suspects.cxx
@@ -8,9 +8,8 @@
 
 // A run that was reported for longer clears its task of earlier suspicions.
 constexpr auto clearedAfter = std::chrono::seconds(10);
-// A worker that crashes within this time after the start of the only suspect was hardly ended by
-// another cause.
-constexpr auto coincidenceLimit = std::chrono::milliseconds(150);
+// A worker that was not heard for longer than this after a start has crashed immediately after it.
+constexpr auto immediatelyAfter = std::chrono::milliseconds(150);
 // A worker with a trial is heard every 100 ms, others when a run ends, so that simultaneous crashes
 // appear this far apart.
 constexpr auto burstBefore = std::chrono::milliseconds(600);
@@ -31,11 +30,11 @@
         return run.confirmation == run_confirmation::unknown ? crash_blame::possible
                                                              : crash_blame::unanswered;
     }
+    const bool immediately = run.survivedFor < immediatelyAfter;
     if (!run.onTrial || !onlyUnsettled) {
-        return crash_blame::shared;
+        return immediately ? crash_blame::immediate : crash_blame::shared;
     }
-    return run.survivedFor < coincidenceLimit && !otherCause ? crash_blame::sole
-                                                             : crash_blame::likely;
+    return immediately && !otherCause ? crash_blame::sole : crash_blame::likely;
 }
 
 } // namespace
--- a/Tests/Unit/crash_suspects_test.cxx
+++ b/Tests/Unit/crash_suspects_test.cxx
@@ -31,7 +31,8 @@
     EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::sole})));
     EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::bystander, crash_blame::sole})));
     EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::shared, crash_blame::likely})));
-    EXPECT_TRUE(isProvenCulprit(recordOf({crash_blame::shared, crash_blame::sole})));
+    EXPECT_FALSE(isProvenCulprit(recordOf({crash_blame::shared, crash_blame::sole})));
+    EXPECT_TRUE(isProvenCulprit(recordOf({crash_blame::immediate, crash_blame::sole})));
     EXPECT_TRUE(isProvenCulprit(
             recordOf({crash_blame::shared, crash_blame::likely, crash_blame::likely})));
 }
@@ -54,7 +55,7 @@
             recordOf({crash_blame::unanswered, crash_blame::unanswered, crash_blame::unanswered,
                       crash_blame::shared, crash_blame::shared})));
     EXPECT_TRUE(isProvenCulprit(
-            recordOf({crash_blame::possible, crash_blame::shared, crash_blame::sole})));
+            recordOf({crash_blame::possible, crash_blame::immediate, crash_blame::sole})));
 }
 
 // The platform allows three crashes and two more runs, however the crashes come about.
@@ -89,7 +90,7 @@
                                      {milliseconds(0), false, run_confirmation::unknown},
                                      {milliseconds(0), false, run_confirmation::unanswered}},
                                     false);
-    const std::vector<crash_blame> expected{crash_blame::shared,    crash_blame::shared,
+    const std::vector<crash_blame> expected{crash_blame::immediate, crash_blame::shared,
                                             crash_blame::bystander, crash_blame::cleared,
                                             crash_blame::possible,  crash_blame::unanswered};
     EXPECT_EQ(blames, expected);
@@ -100,9 +101,10 @@
     EXPECT_EQ(assignBlame({{milliseconds(5), true}, {seconds(2)}}, false)[0], crash_blame::sole);
     EXPECT_EQ(assignBlame({{milliseconds(300), true}, {seconds(2)}}, false)[0],
               crash_blame::likely);
-    EXPECT_EQ(assignBlame({{milliseconds(5)}, {seconds(2)}}, false)[0], crash_blame::shared);
+    EXPECT_EQ(assignBlame({{milliseconds(5)}, {seconds(2)}}, false)[0], crash_blame::immediate);
+    EXPECT_EQ(assignBlame({{milliseconds(300)}, {seconds(2)}}, false)[0], crash_blame::shared);
     EXPECT_EQ(assignBlame({{milliseconds(5), true}, {milliseconds(5)}}, false)[0],
-              crash_blame::shared);
+              crash_blame::immediate);
     EXPECT_EQ(assignBlame({{milliseconds(5), true}}, true)[0], crash_blame::likely);
 }
 
