fleet: Ignore a heartbeat that a later one of its worker has overtaken

A heartbeat that arrives late, under the next leader, brought an earlier capacity back, so that tasks were started beyond what the worker has (LIMIT where workers do not guard it): only draining was protected, and the highest sequence number was known to one leader. The sequence number of the heartbeat that a record is from is now part of the replicated state, and applying a registration checks it.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -188,9 +188,13 @@
                 "mango_announcements_ignored_total{reason=\"older_life\"}");
         co_return responseOf(fleet_outcome::accepted);
     }
-    if (known != committed.end() && known->second.incarnation == record.incarnation
-        && known->second.draining && !record.draining) {
-        // A worker that drains does so until it ends, so this one was sent before.
+    // A worker that drains does so until it ends.
+    const bool endsDrain = known != committed.end()
+                           && known->second.incarnation == record.incarnation
+                           && known->second.draining && !record.draining;
+    if (endsDrain
+        || isOvertaken(state->context.machine.state(), record.incarnation,
+                       call.heartbeat.sequence)) {
         ++state->context.metricsRegistry.at("mango_announcements_ignored_total{reason=\"late\"}");
         co_return responseOf(fleet_outcome::accepted);
     }
@@ -209,8 +213,11 @@
              {{"worker", record.incarnation.id},
               {"born", record.incarnation.startTime.count()},
               {"address", toText(record.address)},
-              {"state", record.draining ? "draining" : "ready"}});
-    fleet_command change = register_worker{record};
+              {"state", record.draining ? "draining" : "ready"},
+              {"milli_cores", record.capacity.milliCores},
+              {"memory_mb", record.capacity.memoryMb},
+              {"sequence", call.heartbeat.sequence}});
+    fleet_command change = register_worker{record, call.heartbeat.sequence};
     const auto noted = co_await commitCommand(state, std::move(change));
     if (noted) {
         if (const tracked_worker_handle worker = findWorker(*state, record.incarnation)) {
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -49,14 +49,19 @@
 
 fleet_command_result applyOne(fleet_state &state, const register_worker &change)
 {
-    worker_record &known = state.workers[change.record.incarnation.id];
-    const bool endsDrain = change.record.incarnation == known.incarnation && known.draining
-                           && !change.record.draining;
-    if (change.record.incarnation.startTime < known.incarnation.startTime || change.record == known
+    const worker_incarnation &incarnation = change.record.incarnation;
+    if (isOvertaken(state, incarnation, change.sequence)) {
+        return fleet_command_result::unchanged;
+    }
+    worker_record &known = state.workers[incarnation.id];
+    const bool endsDrain =
+            incarnation == known.incarnation && known.draining && !change.record.draining;
+    if (incarnation.startTime < known.incarnation.startTime || change.record == known
         || endsDrain) {
         return fleet_command_result::unchanged;
     }
     known = change.record;
+    state.heartbeatSequences[incarnation.id] = change.sequence;
     return fleet_command_result::applied;
 }
 
@@ -67,6 +72,7 @@
         return fleet_command_result::unchanged;
     }
     state.workers.erase(known);
+    state.heartbeatSequences.erase(change.incarnation.id);
     return fleet_command_result::applied;
 }
 
@@ -146,6 +152,15 @@
             change);
 }
 
+bool isOvertaken(const fleet_state &state, const worker_incarnation &incarnation,
+                 std::uint64_t sequence)
+{
+    const auto known = state.workers.find(incarnation.id);
+    const auto latest = state.heartbeatSequences.find(incarnation.id);
+    return known != state.workers.end() && known->second.incarnation == incarnation
+           && latest != state.heartbeatSequences.end() && sequence < latest->second;
+}
+
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job)
 {
     if (const auto open = state.jobs.find(job); open != state.jobs.end()) {
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -37,15 +37,17 @@
 };
 
 // Records a worker's announced properties. A newer incarnation replaces an older one of the same
-// id, never the reverse.
+// id, and a later heartbeat an earlier one of the same incarnation, never the reverse.
 struct register_worker
 {
     worker_record record;
+    // The sequence number of the heartbeat.
+    std::uint64_t sequence = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(record);
+        archive(record, sequence);
     }
 };
 
@@ -195,6 +197,8 @@
     fleet_configuration configuration;
     std::set<std::string> domainsOutOfService;
     std::map<std::string, worker_record> workers;
+    // By worker: the sequence number of the heartbeat that its record is from.
+    std::map<std::string, std::uint64_t> heartbeatSequences;
     // Jobs that are open or have runs that may still be executing.
     std::map<std::uint64_t, job_state> jobs;
     // Final phases of the most recent other jobs, and the order in which those jobs ended.
@@ -207,14 +211,19 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(configuration, domainsOutOfService, workers, jobs, finished, finishedOrder,
-                failures, pressures);
+        archive(configuration, domainsOutOfService, workers, heartbeatSequences, jobs, finished,
+                finishedOrder, failures, pressures);
     }
 };
 
 // Applies one committed command. Deterministic: gives the same result on every replica.
 fleet_command_result apply(fleet_state &state, const fleet_command &change);
 
+// Returns true when a heartbeat of the incarnation with this sequence number was sent before the
+// one that the worker's record is from.
+bool isOvertaken(const fleet_state &state, const worker_incarnation &incarnation,
+                 std::uint64_t sequence);
+
 // Returns the phase of a job; nullopt when the job is unknown.
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job);
 
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -87,6 +87,18 @@
     forgetDoneOn(worker.record.incarnation.id);
 }
 
+void fake_workers::recordOverload(const fake_worker &worker, const run_key &started)
+{
+    std::uint32_t used = 0;
+    for (const auto &[key, run] : worker.running) {
+        used += milliCoresOf(key);
+    }
+    if (used > worker.record.capacity.milliCores) {
+        overloads.push_back(toText(started) + " on " + worker.record.incarnation.id + ": "
+                            + std::to_string(used));
+    }
+}
+
 void fake_workers::abortGang(const run_key &lost)
 {
     for (auto &[id, worker] : m_workers) {
@@ -136,6 +148,8 @@
     for (const auto &[key, run] : worker.running) {
         if (leaseExpired) {
             over.emplace_back(key, run_outcome::leaseExpired);
+        } else if (run.stopsAt && *run.stopsAt <= m_clock.now()) {
+            over.emplace_back(key, run_outcome::stopped);
         } else if (!worker.hangs && m_clock.now() - run.startedAt >= run.duration) {
             over.emplace_back(key, worker.failsEveryRun ? run_outcome::failed : run_outcome::done);
         }
@@ -201,9 +215,13 @@
         repeatedRuns.push_back(toText(request.key) + " was done on " + done->second);
     }
     worker.running[request.key] = {request.checkpoint, m_clock.now(),
-                                   durationOf ? durationOf(request.key) : runDuration};
+                                   durationOf ? durationOf(request.key) : runDuration,
+                                   std::nullopt};
     starts.push_back({worker.record.incarnation.id, request.key, m_clock.now(),
                       request.specification, request.checkpoint});
+    if (milliCoresOf) {
+        recordOverload(worker, request.key);
+    }
     if (crashesWorker && crashesWorker(request.key.task) && !worker.crashesAt) {
         worker.crashesAt = m_clock.now() + crashDelay;
     }
@@ -258,7 +276,12 @@
         co_return worker_response{worker_call_result::unanswered, std::nullopt};
     }
     worker.blockedRuns[key.task] = std::max(worker.blockedRuns[key.task], key.run);
-    endRun(worker, key, run_outcome::stopped);
+    const auto running = worker.running.find(key);
+    if (worker.stopDuration.count() > 0 && running != worker.running.end()) {
+        running->second.stopsAt = m_clock.now() + worker.stopDuration;
+    } else {
+        endRun(worker, key, run_outcome::stopped);
+    }
     co_return worker_response{worker_call_result::done, clockOf(worker)};
 }
 
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -22,6 +22,8 @@
         std::string checkpoint;
         steady_time startedAt{};
         std::chrono::milliseconds duration{0};
+        // When a requested stop ends it.
+        std::optional<steady_time> stopsAt;
     };
     std::map<run_key, run_state> running;
     // By task: runs up to this number are refused.
@@ -35,6 +37,8 @@
     std::optional<std::chrono::milliseconds> startDelay;
     // All runs fail when they end.
     bool failsEveryRun = false;
+    // How long a run goes on after a request to stop it.
+    std::chrono::milliseconds stopDuration{0};
     // Runs make no progress and do not end.
     bool hangs = false;
     // When the process crashes; nothing when it does not.
@@ -90,6 +94,10 @@
     std::map<run_key, std::uint32_t> throttles;
     // The recent load of a run in reports; 0 when this is not set.
     std::function<std::uint32_t(const run_key &)> reportedLoad;
+    // The cores of a run, in thousandths, for `overloads`; not counted when this is not set.
+    std::function<std::uint32_t(const run_key &)> milliCoresOf;
+    // One entry for each start that brought a worker over its capacity.
+    std::vector<std::string> overloads;
     // True for tasks that crash each worker that starts them, `crashDelay` after the start.
     std::function<bool(const task_key &)> crashesWorker;
     std::chrono::milliseconds crashDelay{10};
@@ -132,6 +140,7 @@
     void endRun(fake_worker &worker, const run_key &key, run_outcome outcome);
     void finishDueRuns(fake_worker &worker);
     void crash(fake_worker &worker);
+    void recordOverload(const fake_worker &worker, const run_key &started);
     void abortGang(const run_key &lost);
     void replaceCrashedWorkers();
 
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -271,16 +271,15 @@
     {
         call(heartbeat_call{{workers.at(worker).record, ++m_sequence}});
     }
-    // Sends the heartbeat of a worker to the leader without waiting for its response.
-    void sendHeartbeat(const std::string &worker)
+    // Sends a heartbeat to the leader without waiting for its response.
+    void sendHeartbeat(const worker_heartbeat &heartbeat)
     {
         const auto running = std::find_if(nodes.begin(), nodes.end(), [](const auto &one) {
             return one != nullptr;
         });
         fleet_server &server = leader() >= 0 ? leading() : *running->get()->server;
         boost::asio::co_spawn(*context,
-                              callAt(&server,
-                                     heartbeat_call{{workers.at(worker).record, ++m_sequence}},
+                              callAt(&server, heartbeat_call{heartbeat},
                                      std::make_shared<std::optional<fleet_response>>()),
                               boost::asio::detached);
     }
@@ -333,7 +332,7 @@
         for (auto &[worker, due] : m_heartbeatsDue) {
             if (due <= clock.now() && workers.exists(worker)) {
                 due = clock.now() + interval;
-                sendHeartbeat(worker);
+                sendHeartbeat({workers.at(worker).record, ++m_sequence});
             }
         }
     }
