tests: Play the loss of two disks while all other processes lose power

Any two of five disks are lost right after a configuration, a failure domain and a job were accepted; nothing is forgotten and five processes vote again.

--- a/Tests/Unit/discovery_test.cxx
+++ b/Tests/Unit/discovery_test.cxx
@@ -94,6 +94,40 @@
     EXPECT_EQ(group.call(read_configuration_call{}).text, "version 1");
 }
 
+// Any two processes lose their disks right after a configuration, a job and a crash count were
+// accepted, while all others lose power.
+TEST(discovery, lossOfTwoDisksAndOfAllPowerForgetsWhatWasAccepted)
+{
+    for (std::size_t first = 0; first < 5; ++first) {
+        for (std::size_t second = first + 1; second < 5; ++second) {
+            fleet_group group(5, 5, 3);
+            group.run(seconds(6));
+            group.workers.add("w1");
+            group.configure();
+            group.announce("w1");
+            group.workers.runDuration = seconds(600);
+            group.submit(7, fleet_group::oneStep(1));
+            group.run(milliseconds(300));
+            group.call(domain_call{"b", true});
+            ASSERT_EQ(group.call(configure_call{fleet_group::configuration(9)}).outcome,
+                      fleet_outcome::accepted);
+            for (std::size_t number = 0; number < 5; ++number) {
+                number == first || number == second ? group.wipe(number) : group.crash(number);
+            }
+            group.run(milliseconds(500));
+            for (std::size_t number = 0; number < 5; ++number) {
+                group.start(number, false);
+            }
+            group.run(seconds(10));
+            ASSERT_GE(group.leader(), 0) << first << second;
+            EXPECT_EQ(group.call(read_configuration_call{}).text, "version 9") << first << second;
+            EXPECT_TRUE(group.leading().state().domainsOutOfService.contains("b"));
+            EXPECT_EQ(group.phase(7), job_phase::running);
+            EXPECT_EQ(votersOf(group), 5U);
+        }
+    }
+}
+
 // A process at a new address replaces one that has failed permanently.
 TEST(discovery, replacesALostProcessByAnotherOne)
 {
