state: End a task under which workers restart again and again

A replaced process is now told apart; four such restarts within 10 s of run time each, without a longer run between them, end the task as failed with the reason as its outcome.

taskRestartsWorkersWithoutALimit; without the change such a task stays pending (the change of a report did not exist).

--- a/Source/Control/task_scheduler.cxx
+++ b/Source/Control/task_scheduler.cxx
@@ -385,9 +385,9 @@
             }
             continue;
         }
-        static constexpr const char *eventNames[] = {"task checkpointed", "task evicted",
-                                                     "task finished",     "task failed",
-                                                     "task lost",         "task not started"};
+        static constexpr const char *eventNames[] = {
+                "task checkpointed", "task evicted",     "task finished", "task failed",
+                "task lost",         "task not started", "task lost"};
         for (const task_report &report : change.reports) {
             leader->shared.events.record(eventNames[static_cast<int>(report.change)],
                                          {toText(report.task), "", "", report.outcome});
--- a/Source/Control/worker_agent.cxx
+++ b/Source/Control/worker_agent.cxx
@@ -288,11 +288,11 @@
         task_report report;
         report.task = id;
         report.epoch = task->epoch;
-        report.change = task_change::lost;
+        report.change = former ? task_change::workerRestarted : task_change::lost;
         report.lostMs = run.progressMs - std::min(run.progressMs, task->progressMs);
         queueReport(leader, report);
-        leader.shared.events.record("task lost",
-                                    {toText(id), "", worker.announced.name, "lease ran out"});
+        leader.shared.events.record("task lost", {toText(id), "", worker.announced.name,
+                                                  former ? "worker restarted" : "lease ran out"});
     }
 }
 
--- a/Source/State/cluster_state.cxx
+++ b/Source/State/cluster_state.cxx
@@ -11,6 +11,9 @@
 constexpr std::size_t maximumIdempotencyRecords = 5000;
 constexpr std::size_t maximumClaims = 100'000;
 constexpr std::uint32_t maximumTaskFailures = 5;
+constexpr std::uint32_t maximumWorkerRestarts = 4;
+// A run whose worker restarts later than this was hardly the cause.
+constexpr std::uint64_t startSurvivedAfterMs = 10'000;
 
 std::string jobKey(const std::string &team, const std::string &key)
 {
@@ -207,6 +210,21 @@
     }
 }
 
+// A task that ends the processes of its workers is not started for ever.
+void recordWorkerRestart(cluster_state &state, const task_report &report, std::uint64_t wallTimeMs)
+{
+    task_record &task = state.tasks[report.task];
+    task.lostMs += report.lostMs;
+    const bool survivedStart = report.lostMs >= startSurvivedAfterMs;
+    task.workerRestarts = survivedStart ? 0 : task.workerRestarts + 1;
+    if (task.workerRestarts < maximumWorkerRestarts) {
+        requeueTask(state, report.task, wallTimeMs);
+        return;
+    }
+    task.outcome = "workers restarted under the task";
+    endTask(state, report.task, task_phase::failed, wallTimeMs);
+}
+
 void applyReport(cluster_state &state, const task_report &report, std::uint64_t wallTimeMs)
 {
     const auto found = state.tasks.find(report.task);
@@ -229,6 +247,9 @@
         task.lostMs += report.lostMs;
         requeueTask(state, report.task, wallTimeMs);
         break;
+    case task_change::workerRestarted:
+        recordWorkerRestart(state, report, wallTimeMs);
+        break;
     case task_change::neverStarted:
         requeueTask(state, report.task, wallTimeMs);
         break;
--- a/Source/State/commands.h
+++ b/Source/State/commands.h
@@ -107,7 +107,9 @@
     // The lease of its worker expired.
     lost,
     // Its worker does not know the run.
-    neverStarted
+    neverStarted,
+    // Its worker's process ended while it had the run, and another one has taken its place.
+    workerRestarted
 };
 
 // A change of one placed task. Reports for another epoch than the task's current one are ignored.
--- a/Source/State/records.h
+++ b/Source/State/records.h
@@ -83,13 +83,15 @@
     std::uint64_t lostMs = 0;
     std::uint32_t evictions = 0;
     std::uint32_t failures = 0;
+    // Restarts of its workers shortly after its starts, without a longer run in between.
+    std::uint32_t workerRestarts = 0;
     std::string outcome;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(phase, epoch, worker, workerIncarnation, checkpoint, previousCheckpoint, progressMs,
-                lostMs, evictions, failures, outcome);
+                lostMs, evictions, failures, workerRestarts, outcome);
     }
 };
 
--- a/Tests/Unit/cluster_state_test.cxx
+++ b/Tests/Unit/cluster_state_test.cxx
@@ -112,6 +112,27 @@
     EXPECT_EQ(jobPhase(*findJob(state, 1)), "failed");
 }
 
+// Workers restarted under a task for ever; restarts after longer runs have other causes.
+TEST(cluster_state, taskRestartsWorkersWithoutALimit)
+{
+    const auto restart = [](cluster_state &state, std::uint64_t epoch, std::uint64_t lostMs) {
+        place(state, {1, 0}, epoch, "w1");
+        apply(state,
+              report_tasks_command{
+                      {{{1, 0}, epoch, task_change::workerRestarted, "", 0, lostMs, ""}}, 1});
+    };
+    cluster_state state = stateWithJob(1);
+    for (std::uint64_t epoch = 1; epoch <= 12; ++epoch) {
+        restart(state, epoch, epoch % 3 == 0 ? 60'000 : 20);
+    }
+    EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::pending);
+    for (std::uint64_t epoch = 13; epoch <= 16; ++epoch) {
+        restart(state, epoch, 20);
+    }
+    EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::failed);
+    EXPECT_EQ(jobPhase(*findJob(state, 1)), "failed");
+}
+
 // P7: one attempt holds the claim on a key and may repeat it; other attempts are told which one.
 TEST(cluster_state, keyIsClaimedByOneAttempt)
 {
