scheduler: Let a task wait for a trial anew after each crash

A task that had once been started without a trial, since there were too many suspects, counted as having waited long when a worker crashed under it again: all such tasks went on trial at once, each with a worker for itself. The wait now begins with each start. New gauges mango_runs_on_trial and mango_suspects_waiting.

trialsCloseTheServiceAfterASecondCrash failed before: 6 starts within 0.3 s where one trial at a time is allowed.

--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -75,6 +75,9 @@
     std::uint64_t endPending = 0;
     std::uint64_t unconfirmed = 0;
     std::uint64_t stopping = 0;
+    std::uint64_t onTrial = 0;
+    // Tasks that wait for a trial.
+    std::uint64_t suspectsWaiting = 0;
 };
 
 unsettled_runs countUnsettled(const dispatch_state &state)
@@ -85,6 +88,14 @@
             counts.endPending += run.endPending ? 1 : 0;
             counts.unconfirmed += run.phase == run_phase::unconfirmed ? 1 : 0;
             counts.stopping += run.stopRequested && !run.endPending ? 1 : 0;
+            counts.onTrial += run.onTrial ? 1 : 0;
+        }
+    }
+    for (const auto &[number, job] : state.jobs) {
+        for (const auto &[at, steps] : job.occurrences) {
+            for (const tracked_step &step : steps) {
+                counts.suspectsWaiting += step.trialWaitSince.size();
+            }
         }
     }
     return counts;
@@ -123,6 +134,8 @@
     metrics.at("mango_runs_end_pending") = unsettled.endPending;
     metrics.at("mango_runs_unconfirmed") = unsettled.unconfirmed;
     metrics.at("mango_runs_stopping") = unsettled.stopping;
+    metrics.at("mango_suspects_waiting") = unsettled.suspectsWaiting;
+    metrics.at("mango_runs_on_trial") = unsettled.onTrial;
 }
 
 } // namespace
--- a/Source/Dispatch/trial_runs.cxx
+++ b/Source/Dispatch/trial_runs.cxx
@@ -80,7 +80,6 @@
     const trial_company company = waitedLong ? trial_company::anyRuns : trial_company::settledRuns;
     const bool mayTry = hasTrialSlot(*state) || (repeated && waitedLong);
     if (mayTry && tryTask(state, round, ready, index, run, company, started)) {
-        ready.tracked->trialWaitSince.erase(index);
         return trial_outcome::placed;
     }
     return waitedLong ? trial_outcome::notNeeded : trial_outcome::waits;
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "Scheduling/crash_trials.h"
 #include "Unit/fleet_group.h"
 
 namespace mango::test {
@@ -274,6 +275,35 @@
     EXPECT_EQ(fleet.phase(job), job_phase::completed);
 }
 
+// Suspects that had once been started without a trial did not wait for the next one: all of them
+// were on trial at once, each with a worker for itself.
+TEST(worker_crashes, trialsCloseTheServiceAfterASecondCrash)
+{
+    crash_fleet fleet;
+    fleet.workers.durationOf = nullptr;
+    fleet.workers.runDuration = seconds(2);
+    const std::uint64_t job = fleet.nextJob++;
+    fleet.submit(job, fleet_group::oneStep(40));
+    fleet.run(milliseconds(100));
+    for (const char *id : {"w0", "w1", "w2", "w3"}) {
+        fleet.workers.crash(id);
+    }
+    for (int step = 0; step < 500 && fleet.startsOf(job) < 60; ++step) {
+        fleet.run(milliseconds(10));
+    }
+    fleet.run(milliseconds(50));
+    for (const char *id : {"w4", "w5", "w6", "w7"}) {
+        fleet.workers.crash(id);
+    }
+    for (int step = 0; step < 600 && fleet.startsOf(job) == 60; ++step) {
+        fleet.run(milliseconds(10));
+    }
+    fleet.run(milliseconds(300));
+    EXPECT_LE(fleet.startsOf(job), 60U + maximumTrials(8));
+    fleet.run(seconds(20));
+    EXPECT_EQ(fleet.phase(job), job_phase::completed);
+}
+
 // The members of a gang start together, so that none of them is tried apart.
 TEST(worker_crashes, gangTakesDownWorkerAfterWorker)
 {
