scheduler: Bound the wait for what became of silent workers

A task that had lost four runs to workers of which nobody knew whether they had crashed was not started again until they came back or were removed, up to 60 s later. It now waits 3 s at most, so that a long-running task runs again within the 9 s that the platform allows.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -219,6 +219,8 @@
     unplaced_wait restartsWait;
     // By task: since when it has waited for a trial.
     std::map<std::uint32_t, steady_time> trialWaitSince;
+    // By task: since when it has waited to learn whether the workers of its runs have crashed.
+    std::map<std::uint32_t, steady_time> explanationWaitSince;
     // Since when the step has had no run although it is ready.
     std::optional<steady_time> idleSince;
     // The expected time of its critical path, as of `estimatedAt`.
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -283,6 +283,7 @@
     reason.earlierCrashes = findTask(*ready.committedJob, key.task)->crashRecord.crashes;
     reserveResources(offer, request);
     ready.tracked->trialWaitSince.erase(key.task.index);
+    ready.tracked->explanationWaitSince.erase(key.task.index);
     tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
     added.placement = reason;
     started.runs.push_back({key, worker->record.incarnation});
--- a/Source/Dispatch/trial_runs.cxx
+++ b/Source/Dispatch/trial_runs.cxx
@@ -14,8 +14,10 @@
 constexpr auto repeatedTrialWait = std::chrono::milliseconds(5000);
 // A worker with runs is heard more often than this.
 constexpr auto unheardAfter = std::chrono::milliseconds(400);
-// With so many crashes, known or possible, a task waits until the possible ones are explained.
+// With so many crashes, known or possible, a task waits for the possible ones to be explained, for
+// a while.
 constexpr std::size_t maximumPossibleCrashes = 4;
+constexpr auto explanationWait = std::chrono::milliseconds(3000);
 
 bool awaitsExplanations(const task_state &task)
 {
@@ -67,13 +69,15 @@
 {
     const task_state &task =
             ready.committedJob->occurrences.at(ready.occurrence).steps[ready.step][index];
-    if (awaitsExplanations(task)) {
+    const steady_time now = state->context.clock.now();
+    if (awaitsExplanations(task)
+        && now - ready.tracked->explanationWaitSince.try_emplace(index, now).first->second
+                   < explanationWait) {
         return trial_outcome::waits;
     }
     if (!isSuspect(task.crashRecord)) {
         return trial_outcome::notNeeded;
     }
-    const steady_time now = state->context.clock.now();
     const steady_time since = ready.tracked->trialWaitSince.try_emplace(index, now).first->second;
     const bool repeated = isStrongSuspect(task.crashRecord);
     const bool waitedLong = now - since >= (repeated ? repeatedTrialWait : trialWait);
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -166,6 +166,22 @@
     EXPECT_EQ(fleet.phase(8), job_phase::running);
 }
 
+// A task that has lost its runs to silent workers waits for what became of them, but not for ever.
+TEST(worker_crashes, taskWaitsForWorkersThatNeverComeBack)
+{
+    crash_fleet fleet;
+    fleet.workers.durationOf = nullptr;
+    fleet.workers.runDuration = seconds(60);
+    fleet.submit(8, fleet_group::oneStep(1));
+    fleet.run(milliseconds(200));
+    for (int time = 0; time < 5; ++time) {
+        fleet.workers.at(fleet.workers.starts.back().worker).unreachable = true;
+        // The platform expects a long-running task to run again within 9 s.
+        fleet.run(seconds(9));
+    }
+    EXPECT_GE(fleet.startsOf(8), 6U);
+}
+
 // A draining worker that ends takes its runs with it, as planned.
 TEST(worker_crashes, plannedEndsOfWorkersEndASoundJob)
 {
