rounds: Log and count what a scheduling round spends its time on

Each second the line round-work follows the line rounds: milliseconds by part (workers, offers, collect, place, hold, stragglers), why rounds ended, how many ready steps a round left, and counts of the work; the same as the counters mango_round_work_total, mango_round_part_microseconds_total and mango_rounds_total.

A step that a round doesn't come to before its budget ends isn't counted as unplaced by the line rounds; most_steps_left shows it.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "Common/wake_event.h"
+#include "Dispatch/round_work.h"
 #include "Dispatch/worker_lease.h"
 #include "Fleet/fleet_state_machine.h"
 #include "Scheduling/crash_suspects.h"
@@ -264,6 +265,7 @@
     steady_span total{0};
     // The most tasks for which a round held room.
     std::uint32_t mostHeld = 0;
+    round_work work;
 };
 
 // The leader's state in memory. Each leadership builds it anew from the replicated state and from
--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -138,6 +138,73 @@
     metrics.at("mango_runs_on_trial") = unsettled.onTrial;
 }
 
+// The counts of the work of rounds, by the names of their metrics and log fields.
+struct named_count
+{
+    const char *name;
+    std::uint64_t round_work::*count;
+};
+constexpr std::array<named_count, 12> workCounts{{
+        {"offers_updated", &round_work::offersUpdated},
+        {"jobs_seen", &round_work::jobsSeen},
+        {"steps_ready", &round_work::stepsReady},
+        {"steps_tried", &round_work::stepsTried},
+        {"rankings", &round_work::rankings},
+        {"scans_for_task", &round_work::scansForTask},
+        {"scans_for_trial", &round_work::scansForTrial},
+        {"scans_to_hold", &round_work::scansToHold},
+        {"offers_scored", &round_work::offersScored},
+        {"releases_listed", &round_work::releasesListed},
+        {"runs_checked", &round_work::runsChecked},
+        {"suspects", &round_work::suspects},
+}};
+constexpr std::array<const char *, roundPartCount - 1> partNames{"workers", "offers", "collect",
+                                                                 "place",   "hold",   "stragglers"};
+constexpr std::array<const char *, roundEndCount> endNames{"done", "budget", "starts"};
+
+void exportWork(metrics_registry &metrics, const round_work &work)
+{
+    for (const named_count &one : workCounts) {
+        metrics.at(std::string("mango_round_work_total{what=\"") + one.name + "\"}") +=
+                work.*one.count;
+    }
+    for (std::size_t part = 0; part < partNames.size(); ++part) {
+        const auto spent = std::chrono::duration_cast<std::chrono::microseconds>(work.spent[part]);
+        metrics.at(std::string("mango_round_part_microseconds_total{part=\"") + partNames[part]
+                   + "\"}") += static_cast<std::uint64_t>(spent.count());
+    }
+    for (std::size_t end = 0; end < roundEndCount; ++end) {
+        metrics.at(std::string("mango_rounds_total{end=\"") + endNames[end] + "\"}") +=
+                work.ends[end];
+    }
+}
+
+// Logs what the rounds since the last line have done: times in milliseconds, counts as sums.
+void logWork(const round_work &work)
+{
+    std::string counts;
+    for (const named_count &one : workCounts) {
+        counts += (counts.empty() ? "" : ",") + std::string(one.name) + ":"
+                  + std::to_string(work.*one.count);
+    }
+    std::string spent;
+    for (std::size_t part = 0; part < partNames.size(); ++part) {
+        spent += (spent.empty() ? "" : ",") + std::string(partNames[part]) + ":"
+                 + std::to_string(toMilliseconds(work.spent[part]));
+    }
+    std::string ends;
+    for (std::size_t end = 0; end < roundEndCount; ++end) {
+        ends += (ends.empty() ? "" : ",") + std::string(endNames[end]) + ":"
+                + std::to_string(work.ends[end]);
+    }
+    logEvent(log_part::scheduler, "round-work",
+             {{"spent_ms", spent},
+              {"ended", ends},
+              {"placed", work.tasksPlaced},
+              {"most_steps_left", work.mostStepsLeft},
+              {"counts", counts}});
+}
+
 } // namespace
 
 void recordUnplaced(const dispatch_state &state, const round_offers &round,
@@ -222,6 +289,8 @@
               {"ends_pending", unsettled.endPending},
               {"unconfirmed", unsettled.unconfirmed},
               {"stopping", unsettled.stopping}});
+    exportWork(state.context.metricsRegistry, summary.work);
+    logWork(summary.work);
     summary = {now};
 }
 
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -119,6 +119,7 @@
         if (found == committed.end()) {
             continue;
         }
+        ++state.roundSummary.work.jobsSeen;
         const job_graph &graph = found->second.graph;
         const run_times &seen = state.runTimes[found->second.queueParameters.pathPrefix];
         // Time makes the occurrences of a schedule ready.
@@ -229,6 +230,39 @@
     asio::co_spawn(state->context.executor, commitCommand(state, std::move(noted)), asio::detached);
 }
 
+void beginPart(dispatch_state &state, round_part part)
+{
+    enterPart(state.roundSummary.work, part, state.context.clock.now());
+}
+
+// Places the tasks of the steps in their order, until the round has taken too long or has placed
+// enough.
+round_end placeSteps(const dispatch_handle &state, round_offers &round,
+                     const std::vector<ready_step> &ready, steady_time roundBegin,
+                     begin_runs &started)
+{
+    round_work &work = state->roundSummary.work;
+    work.stepsReady += ready.size();
+    round_end end = round_end::done;
+    std::uint64_t tried = 0;
+    for (const ready_step &one : ready) {
+        if (started.runs.size() >= maximumStartsPerRound) {
+            end = round_end::starts;
+            break;
+        }
+        if (state->context.clock.now() - roundBegin > roundBudget) {
+            end = round_end::budget;
+            break;
+        }
+        ++tried;
+        placeStep(state, round, one, started);
+    }
+    work.stepsTried += tried;
+    work.mostStepsLeft = std::max<std::uint64_t>(work.mostStepsLeft, ready.size() - tried);
+    ++work.ends[static_cast<std::size_t>(end)];
+    return end;
+}
+
 } // namespace
 
 asio::awaitable<void> runScheduler(dispatch_handle state)
@@ -247,20 +281,22 @@
         }
         const steady_time roundBegin = state->context.clock.now();
         state->changed = false;
+        beginPart(*state, round_part::workers);
         expireSilentWorkers(state);
         commitPendingEnds(state);
         savePressures(state);
         begin_runs started;
+        beginPart(*state, round_part::offers);
         updateOffers(*state, round);
-        for (const ready_step &ready : collectReadySteps(*state)) {
-            if (started.runs.size() >= maximumStartsPerRound
-                || state->context.clock.now() - roundBegin > roundBudget) {
-                state->changed = true;
-                break;
-            }
-            placeStep(state, round, ready, started);
-        }
+        beginPart(*state, round_part::collect);
+        const std::vector<ready_step> ready = collectReadySteps(*state);
+        beginPart(*state, round_part::place);
+        const round_end end = placeSteps(state, round, ready, roundBegin, started);
+        state->changed = state->changed || end != round_end::done;
+        beginPart(*state, round_part::stragglers);
         handleStragglers(state, round, started);
+        beginPart(*state, round_part::outside);
+        state->roundSummary.work.tasksPlaced += started.runs.size();
         recordRound(*state, round, roundBegin);
         lastRound = state->context.clock.now() - roundBegin;
         if (!started.runs.empty()) {
--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -24,11 +24,12 @@
 
 // Returns the runs that may have to be copied or moved, in the order of their keys. Most runs are
 // told apart without a look at their jobs.
-std::vector<std::pair<run_key, tracked_worker_handle>> findSuspects(const dispatch_state &state,
+std::vector<std::pair<run_key, tracked_worker_handle>> findSuspects(dispatch_state &state,
                                                                     steady_time now)
 {
     std::vector<std::pair<run_key, tracked_worker_handle>> suspects;
     for (const auto &[incarnation, worker] : state.workers) {
+        state.roundSummary.work.runsChecked += worker->runs.size();
         for (const auto &[key, run] : worker->runs) {
             if (isActive(run) && !isCertainlyKept(progressOf(*worker, run, run.estimate, now))) {
                 suspects.emplace_back(key, worker);
@@ -85,6 +86,7 @@
     const auto &jobs = state->context.machine.state().jobs;
     for (const auto &[key, worker] : findSuspects(*state, now)) {
         state->lastSuspect = key;
+        ++state->roundSummary.work.suspects;
         tracked_run &run = worker->runs.at(key);
         const auto job = jobs.find(key.task.job);
         const auto tracked = state->jobs.find(key.task.job);
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -71,6 +71,7 @@
         return *round.releases[at];
     }
     std::vector<expected_release> &releases = round.releases[at].emplace();
+    ++state.roundSummary.work.releasesListed;
     const steady_time now = state.context.clock.now();
     const auto &jobs = state.context.machine.state().jobs;
     const tracked_worker &worker = *round.workers[at];
@@ -97,6 +98,39 @@
     return releases;
 }
 
+// Chooses the offer on which a task is expected to fit soonest.
+int chooseToHold(dispatch_state &state, round_offers &round,
+                 const std::vector<worker_offer> &offers, const placement_request &request)
+{
+    round_work &work = state.roundSummary.work;
+    const round_part earlier = enterPart(work, round_part::hold, state.context.clock.now());
+    ++work.scansToHold;
+    const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
+        return releasesOf(state, round, at);
+    };
+    const int chosen = chooseOfferToHold(offers, releases, request);
+    enterPart(work, earlier, state.context.clock.now());
+    return chosen;
+}
+
+// Counts a look at all offers for one task.
+void countScan(round_work &work, const round_offers &round)
+{
+    ++work.scansForTask;
+    work.offersScored += round.offers.size();
+}
+
+// Chooses for one task from all offers.
+offer_choice chooseFromAll(dispatch_state &state, round_offers &round,
+                           const placement_request &request)
+{
+    if (isRejected(round.rejected, request)) {
+        return {};
+    }
+    countScan(state.roundSummary.work, round);
+    return chooseOffer(round.offers, request, round.rejected);
+}
+
 // Keeps the resources of a task from all that is placed later in the round, on the worker where
 // they are expected to be free soonest; false when there is none. Each round chooses anew. Counts
 // the task in `runsPerWorker`.
@@ -105,13 +139,10 @@
 {
     placement_request request = makeRequest(*state, ready, index);
     request.runsPerWorker = &runsPerWorker;
-    const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
-        return releasesOf(*state, round, at);
-    };
-    int chosen = chooseOfferToHold(round.offers, releases, request);
+    int chosen = chooseToHold(*state, round, round.offers, request);
     if (chosen < 0 && request.avoidedWorkers != nullptr) {
         request.avoidedWorkers = nullptr;
-        chosen = chooseOfferToHold(round.offers, releases, request);
+        chosen = chooseToHold(*state, round, round.offers, request);
     }
     if (chosen < 0) {
         return false;
@@ -125,7 +156,7 @@
 }
 
 // Chooses as chooseOffer() does, from the ranking for the tasks of one step.
-offer_choice chooseRanked(round_offers &round, const placement_request &request,
+offer_choice chooseRanked(round_work &work, round_offers &round, const placement_request &request,
                           std::optional<offer_ranking> &ranking)
 {
     if (isRejected(round.rejected, request)) {
@@ -133,6 +164,8 @@
     }
     if (!ranking) {
         ranking = rankOffers(round.offers, request);
+        ++work.rankings;
+        work.offersScored += round.offers.size();
     }
     offer_choice choice;
     choice.candidates = static_cast<std::uint32_t>(ranking->entries.size());
@@ -169,21 +202,19 @@
                        std::size_t members, bool mayHold, const begin_runs &started)
 {
     gang_trial trial{round.offers};
-    const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
-        return releasesOf(*state, round, at);
-    };
     std::map<worker_incarnation, std::uint32_t> runsPerWorker;
     placement_request request = makeRequest(*state, ready, 0);
     request.runsPerWorker = &runsPerWorker;
     request.avoidedWorkers = nullptr;
     for (std::size_t member = 0; member < members; ++member) {
         offer_choice chosen = chooseOffer(trial.offers, request);
+        countScan(state->roundSummary.work, round);
         if (chosen.index < 0) {
             if (trial.fits) {
                 recordUnplaced(*state, round, trial.offers, ready, request, started.runs.size());
             }
             trial.fits = false;
-            chosen.index = mayHold ? chooseOfferToHold(trial.offers, releases, request) : -1;
+            chosen.index = mayHold ? chooseToHold(*state, round, trial.offers, request) : -1;
         }
         if (chosen.index < 0) {
             trial.complete = false;
@@ -299,6 +330,7 @@
     const trial_source candidates = [&](std::size_t at) {
         return trialCandidateOf(*state, *round.workers[at]);
     };
+    ++state->roundSummary.work.scansForTrial;
     const int chosen = chooseTrialOffer(round.offers, candidates, request, company);
     if (chosen < 0) {
         return false;
@@ -317,18 +349,18 @@
 {
     placement_request request = makeRequest(*state, ready, index);
     offer_choice chosen = request.avoidedWorkers == nullptr
-                                  ? chooseRanked(round, request, ranking)
-                                  : chooseOffer(round.offers, request, round.rejected);
+                                  ? chooseRanked(state->roundSummary.work, round, request, ranking)
+                                  : chooseFromAll(*state, round, request);
     const char *reason = "fits";
     if (chosen.index < 0 && isStarved(round, ready, state->context.clock.now())) {
         request.starved = true;
         reason = "starved";
-        chosen = chooseOffer(round.offers, request, round.rejected);
+        chosen = chooseFromAll(*state, round, request);
     }
     if (chosen.index < 0 && request.avoidedWorkers != nullptr) {
         request.avoidedWorkers = nullptr;
         reason = "tried-before";
-        chosen = chooseOffer(round.offers, request, round.rejected);
+        chosen = chooseFromAll(*state, round, request);
     }
     if (chosen.index < 0) {
         recordUnplaced(*state, round, round.offers, ready, request, started.runs.size());
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -95,12 +95,14 @@
 void updateOffers(dispatch_state &state, round_offers &round)
 {
     const steady_time now = state.context.clock.now();
+    round_work &work = state.roundSummary.work;
     if (std::exchange(state.workersListed, true)) {
         for (const tracked_worker_handle &worker : state.changedWorkers) {
             // A worker that was removed may still be reported as changed.
             if (worker->offerIndex < round.workers.size()
                 && round.workers[worker->offerIndex] == worker) {
                 updateOffer(state, round, worker->offerIndex, now);
+                ++work.offersUpdated;
             }
         }
     } else {
@@ -112,6 +114,7 @@
     const std::size_t updated = std::exchange(state.allOffersChanged, false)
                                         ? count
                                         : std::min(count, unchangedPerRound);
+    work.offersUpdated += updated;
     for (std::size_t number = 0; number < updated; ++number) {
         round.nextUnchanged = round.nextUnchanged + 1 < count ? round.nextUnchanged + 1 : 0;
         updateOffer(state, round, round.nextUnchanged, now);
