--- a/Source/Wire/codec.h
+++ b/Source/Wire/codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <bit>
 #include <cstring>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -86,19 +86,72 @@
     }
 }
 
+// Appends to a string in the little-endian format of cereal's portable binary archive. Cereal's own
+// writer needs a stream, whose construction costs more than most messages.
+class memory_output_archive
+    : public cereal::OutputArchive<memory_output_archive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit memory_output_archive(std::string &bytes)
+        : OutputArchive<memory_output_archive, cereal::AllowEmptyClassElision>(this)
+        , m_bytes(bytes)
+    {
+        m_bytes += '\1';
+    }
+
+    void saveBytes(const void *source, std::size_t size)
+    {
+        m_bytes.append(static_cast<const char *>(source), size);
+    }
+
+private:
+    std::string &m_bytes;
+};
+
+template<class Number>
+requires std::is_arithmetic_v<Number>
+void CEREAL_SAVE_FUNCTION_NAME(memory_output_archive &archive, const Number &number)
+{
+    archive.saveBytes(std::addressof(number), sizeof number);
+}
+
+template<class Item>
+void CEREAL_SAVE_FUNCTION_NAME(memory_output_archive &archive, const cereal::BinaryData<Item> &data)
+{
+    archive.saveBytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+template<class Item>
+void CEREAL_SERIALIZE_FUNCTION_NAME(memory_output_archive &archive,
+                                    cereal::NameValuePair<Item> &pair)
+{
+    archive(pair.value);
+}
+
+template<class Item>
+void CEREAL_SERIALIZE_FUNCTION_NAME(memory_output_archive &archive, cereal::SizeTag<Item> &tag)
+{
+    archive(tag.size);
+}
+
 } // namespace detail
 
+// Appends a value to the bytes as encode() writes it.
+template<class Value>
+void appendEncoded(std::string &bytes, const Value &value)
+{
+    static_assert(std::endian::native == std::endian::little);
+    detail::memory_output_archive archive(bytes);
+    archive(value);
+}
+
 // Serializes a value in cereal's portable binary format, little-endian.
 template<class Value>
 std::string encode(const Value &value)
 {
-    std::ostringstream output;
-    {
-        cereal::PortableBinaryOutputArchive archive(
-                output, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-        archive(value);
-    }
-    return std::move(output).str();
+    std::string bytes;
+    appendEncoded(bytes, value);
+    return bytes;
 }
 
 // Deserializes a value that encode() wrote. Returns false when the data is truncated, has trailing
@@ -123,7 +176,14 @@
 template<>
 struct get_output_from_input<mango::detail::bounded_input_archive>
 {
-    using type = cereal::PortableBinaryOutputArchive;
+    using type = mango::detail::memory_output_archive;
+};
+
+// Names the input archive that reads what this output archive writes.
+template<>
+struct get_input_from_output<mango::detail::memory_output_archive>
+{
+    using type = mango::detail::bounded_input_archive;
 };
 
 } // namespace cereal::traits::detail
--- a/Tests/Unit/wire_test.cxx
+++ b/Tests/Unit/wire_test.cxx
@@ -6,10 +6,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/crc.hpp>
 
 #include "Control/worker_protocol.h"
 #include "Fakes/fake_clock.h"
 #include "Fakes/fake_network.h"
+#include "Wire/fleet_messages.h"
 #include "Wire/codec.h"
 #include "Wire/frame_codec.h"
 #include "Wire/rpc.h"
@@ -135,6 +137,41 @@
     EXPECT_FALSE(decode(bytes + "x", longer));
 }
 
+// Stored logs and snapshots, and replicas of earlier versions, have cereal's own format.
+TEST(codec, writesTheFormatOfCereal)
+{
+    const auto encodedByCereal = [](const auto &value) {
+        std::ostringstream output;
+        cereal::PortableBinaryOutputArchive archive(
+                output, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+        archive(value);
+        return output.str();
+    };
+    EXPECT_EQ(encode(sampleCall()), encodedByCereal(sampleCall()));
+    worker_report report;
+    report.clock = worker_time(77);
+    report.running.push_back({{{5, 1, 2, 3}, 4}, "saved", 50, 900});
+    report.ended.push_back({9, {{6, 0, 0, 1}, 1}, run_outcome::failed, ""});
+    EXPECT_EQ(encode(report), encodedByCereal(report));
+    const std::map<std::string, std::optional<double>> values{{"a", 0.5}, {"b", std::nullopt}};
+    EXPECT_EQ(encode(values), encodedByCereal(values));
+    const std::vector<std::uint32_t> numbers{1, 2, 3};
+    EXPECT_EQ(encode(numbers), encodedByCereal(numbers));
+}
+
+// Frames and stored records of earlier versions carry this checksum.
+TEST(frame_codec, computesTheChecksumOfBoost)
+{
+    EXPECT_EQ(crc32Of("123456789"), 0xcbf43926U);
+    std::string bytes;
+    for (int length = 0; length < 70; ++length) {
+        boost::crc_32_type expected;
+        expected.process_bytes(bytes.data(), bytes.size());
+        EXPECT_EQ(crc32Of(bytes), expected.checksum()) << length;
+        bytes += static_cast<char>(length * 37);
+    }
+}
+
 // A container length beyond the end of the data must be rejected before memory is allocated for it.
 TEST(codec, rejectsLengthBeyondData)
 {
@@ -200,22 +237,22 @@
 // one; otherwise all later calls would fail as well.
 TEST(rpc_client, replacesSilentConnection)
 {
-    boost::asio::io_context context(1);
-    auto clock = std::make_unique<fake_clock>(context);
-    const auto links = std::make_shared<fake_links>(context.get_executor(), *clock);
+    auto context = std::make_unique<boost::asio::io_context>(1);
+    fake_clock clock(*context);
+    const auto links = std::make_shared<fake_links>(context->get_executor(), clock);
     fake_network server(links, {"10.0.0.1", 1});
     fake_network client(links, {"10.0.0.2", 1});
-    causal_clock stamps(*clock);
-    serveCalls(context.get_executor(), server, stamps, {"10.0.0.1", 1},
+    causal_clock stamps(clock);
+    serveCalls(context->get_executor(), server, stamps, {"10.0.0.1", 1},
                [](call, host_address) -> boost::asio::awaitable<response_message> {
                    co_return acknowledged{};
                });
-    const auto caller = std::make_shared<rpc_client>(context.get_executor(), *clock, client, stamps,
+    const auto caller = std::make_shared<rpc_client>(context->get_executor(), clock, client, stamps,
                                                      host_address{"10.0.0.1", 1});
     std::vector<bool> answered;
     const auto callOnce = [&] {
         boost::asio::co_spawn(
-                context,
+                *context,
                 [](std::shared_ptr<rpc_client> peer,
                    std::vector<bool> &results) -> boost::asio::awaitable<void> {
                     const call message{0, transfer_leadership_request{}};
@@ -223,7 +260,7 @@
                     results.push_back(!failed(outcome));
                 }(caller, answered),
                 boost::asio::detached);
-        clock->advance(std::chrono::seconds(2));
+        clock.advance(std::chrono::seconds(2));
     };
     callOnce();
     links->blockedLinks.insert({{"10.0.0.1", 1}, {"10.0.0.2", 1}});
@@ -231,6 +268,8 @@
     links->blockedLinks.clear();
     callOnce();
     EXPECT_EQ(answered, (std::vector<bool>{true, false, true}));
+    // The coroutines that still wait use the clock until they are destroyed.
+    context.reset();
 }
 
 // Frames end anywhere in what one read returns, and large ones need many reads.
