workers: Count as never sent only what was certainly not sent

A start that was never sent is placed elsewhere at once, so that a wrong word of it can run a task twice.

--- a/Source/Dispatch/relayed_worker_client.cxx
+++ b/Source/Dispatch/relayed_worker_client.cxx
@@ -154,9 +154,8 @@
     }
     auto *received = std::get_if<worker_call_answer>(&valueOf(answered));
     if (received == nullptr) {
-        // A replica that does not know the call has not carried it out.
         suspend(address);
-        co_return relayFailure(worker_call_result::neverSent);
+        co_return relayFailure(worker_call_result::unanswered);
     }
     const auto *response = std::get_if<worker_response>(&received->answer);
     if (response != nullptr && response->relayFailed) {
--- a/Tests/Unit/platform_codec_test.cxx
+++ b/Tests/Unit/platform_codec_test.cxx
@@ -205,6 +205,9 @@
     EXPECT_EQ(resultOf(503, ""), worker_call_result::unhealthy);
     EXPECT_EQ(resultOf(500, ""), worker_call_result::unanswered);
     EXPECT_EQ(resultOf(400, ""), worker_call_result::malformed);
+    EXPECT_EQ(resultOf(409, "{"), worker_call_result::unanswered);
+    EXPECT_EQ(resultOf(409, R"({"clock_ms":5,"reason":"?"})"), worker_call_result::unanswered);
+    EXPECT_EQ(resultOf(202, "{}"), worker_call_result::unanswered);
 }
 
 TEST(platform_codec, encodesRequestsToWorkers)
