wire: Let an answer that has arrived win over the end of the wait for it

A process that was busy found the end of a wait and the answer in the same turn of its event loop. When the end came first, the answer was dropped: a start that was done counted as unconfirmed, its relay as failed, and when no frame had been read meanwhile, the connection was closed and all other calls through it failed too. A call now gives its connection the turns that it needs to read what has arrived. A call whose time is over before its connection is open is not sent any more, and fails as not sent; so does one that waited in vain for the connection.

With the change taken back, prefersAnAnswerThatHasArrivedToTheEndOfItsWait and sendsNothingOnceItsTimeIsOver fail.

--- a/Source/Wire/network.h
+++ b/Source/Wire/network.h
@@ -53,6 +53,8 @@
     // receive() reports the failure.
     virtual void send(frame message) = 0;
     virtual void close() = 0;
+    // The number of bytes that have arrived and that receive() has not taken yet.
+    [[nodiscard]] virtual std::size_t unreadBytes() const = 0;
     [[nodiscard]] virtual host_address peer() const = 0;
 };
 
--- a/Source/Wire/rpc.cxx
+++ b/Source/Wire/rpc.cxx
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "Common/log.h"
 #include "Wire/codec.h"
@@ -10,6 +12,22 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// The least number of bytes that a connection receives in one turn of a busy loop.
+constexpr std::size_t bytesReadPerTurn = 4096;
+// The turns that it takes at most until a connection that has become readable is read.
+constexpr std::size_t turnsUntilRead = 4;
+
+// Returns the turns of the event loop within which the bytes that have arrived are processed. A
+// loop that is late finds an answer and the end of the wait for it in the same turn.
+std::size_t turnsToRead(std::size_t unreadBytes)
+{
+    return unreadBytes == 0 ? 0 : turnsUntilRead + unreadBytes / bytesReadPerTurn;
+}
+
+} // namespace
+
 struct rpc_client::pending_call
 {
     std::unique_ptr<wait_timer> timer;
@@ -42,13 +60,20 @@
     if (failed(ready)) {
         co_return failureOf(ready);
     }
+    if (m_clock.now() >= deadline) {
+        co_return network_failure{network_failure::kind::connectFailed, m_peer, "connected late"};
+    }
     pending_call pending{m_clock.makeTimer(), {}};
     const std::uint64_t correlation = m_nextCorrelation++;
     const std::uint64_t receivedBefore = m_framesReceived;
     const auto connection = m_connection;
     m_pendingCalls[correlation] = &pending;
     connection->send({correlation, m_causalClock.tick(), false, encode(message)});
-    co_await pending.timer->waitFor(std::max(deadline - m_clock.now(), steady_span(0)));
+    co_await pending.timer->waitFor(deadline - m_clock.now());
+    const std::size_t turns = pending.outcome ? 0 : turnsToRead(connection->unreadBytes());
+    for (std::size_t turn = 0; turn < turns && !pending.outcome; ++turn) {
+        co_await asio::post(m_executor, asio::use_awaitable);
+    }
     m_pendingCalls.erase(correlation);
     if (pending.outcome) {
         co_return std::move(*pending.outcome);
@@ -64,7 +89,8 @@
     while (m_connecting) {
         const bool notified = co_await m_connected.waitFor(timeout);
         if (!notified) {
-            co_return network_failure{network_failure::kind::timedOut, m_peer, "connecting"};
+            co_return network_failure{network_failure::kind::connectFailed, m_peer,
+                                      "no connection in time"};
         }
     }
     if (m_connection) {
--- a/Source/Wire/rpc.h
+++ b/Source/Wire/rpc.h
@@ -22,6 +22,8 @@
     ~rpc_client();
 
     // Sends the call and returns its response; fails when the connection fails or the timeout ends.
+    // The failure is `connectFailed` only when the call was not sent. A response that has arrived
+    // before the timeout ended is returned even if this process reads it later.
     boost::asio::awaitable<result<response_message, network_failure>> invoke(call message,
                                                                              steady_span timeout);
     // Closes the connection and fails all pending calls; a later call opens a new connection.
--- a/Source/Wire/tcp_network.cxx
+++ b/Source/Wire/tcp_network.cxx
@@ -65,6 +65,16 @@
     return stream.next_layer();
 }
 
+const tcp::socket &socketOf(const tcp::socket &stream)
+{
+    return stream;
+}
+
+const tcp::socket &socketOf(const tls_stream &stream)
+{
+    return stream.next_layer();
+}
+
 host_address addressOf(const tcp::endpoint &endpoint)
 {
     return {endpoint.address().to_string(), endpoint.port()};
@@ -130,6 +140,13 @@
         socketOf(m_stream).close(ignored);
     }
 
+    [[nodiscard]] std::size_t unreadBytes() const override
+    {
+        // A read in progress counts with its whole buffer, as bytes may have arrived there.
+        error_code closed;
+        return m_received.size() - m_taken + socketOf(m_stream).available(closed);
+    }
+
     [[nodiscard]] host_address peer() const override
     {
         return m_peer;
--- a/Tests/Fakes/fake_network.cxx
+++ b/Tests/Fakes/fake_network.cxx
@@ -64,6 +64,15 @@
         }
     }
 
+    [[nodiscard]] std::size_t unreadBytes() const override
+    {
+        std::size_t bytes = 0;
+        for (const frame &message : m_received) {
+            bytes += message.payload.size();
+        }
+        return bytes;
+    }
+
     [[nodiscard]] host_address peer() const override
     {
         return m_peer;
--- a/Tests/Unit/call_failures_test.cxx
+++ b/Tests/Unit/call_failures_test.cxx
@@ -1,10 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include <boost/asio.hpp>
 
 #include "Dispatch/relayed_worker_client.h"
 #include "Fakes/fake_clock.h"
 #include "Fakes/fake_network.h"
+#include "Wire/codec.h"
 #include "http_worker_client.h"
 
 namespace mango::test {
@@ -17,6 +20,90 @@
 
 const host_address peerAddress{"10.0.0.1", 1};
 
+// A connection of a process that is busy for a while after each call. The response arrives in that
+// time, and is read some turns of the event loop later.
+class busy_connection final : public frame_connection
+{
+public:
+    busy_connection(asio::any_io_executor executor, milliseconds busyFor)
+        : m_executor(std::move(executor))
+        , m_busyFor(busyFor)
+    {}
+
+    asio::awaitable<result<frame, network_failure>> receive() override
+    {
+        constexpr int turnsUntilRead = 6;
+        for (int turn = 0; turn < turnsUntilRead; ++turn) {
+            co_await asio::post(m_executor, asio::use_awaitable);
+        }
+        if (!m_response) {
+            // Nothing else arrives.
+            asio::steady_timer never(m_executor, seconds(3600));
+            co_await never.async_wait(asio::use_awaitable);
+        }
+        co_return *std::exchange(m_response, std::nullopt);
+    }
+    void send(frame message) override
+    {
+        m_response = frame{message.correlation, 0, true, encode(response_message(acknowledged{}))};
+        std::this_thread::sleep_for(m_busyFor);
+    }
+    void close() override
+    {}
+    [[nodiscard]] std::size_t unreadBytes() const override
+    {
+        constexpr std::size_t othersBefore = 30'000;
+        return m_response ? othersBefore + m_response->payload.size() : 0;
+    }
+    [[nodiscard]] host_address peer() const override
+    {
+        return peerAddress;
+    }
+
+private:
+    asio::any_io_executor m_executor;
+    milliseconds m_busyFor;
+    std::optional<frame> m_response;
+};
+
+// Opens one given connection, after a delay.
+class single_network final : public network
+{
+public:
+    single_network(clock_source &clock, std::shared_ptr<frame_connection> connection,
+                   milliseconds delay)
+        : m_clock(clock)
+        , m_connection(std::move(connection))
+        , m_delay(delay)
+    {}
+
+    asio::awaitable<result<std::shared_ptr<frame_connection>, network_failure>>
+    connect(host_address /*address*/, steady_span /*timeout*/) override
+    {
+        co_await m_clock.sleepFor(m_delay);
+        co_return m_connection;
+    }
+    result<done, network_failure> listen(const host_address & /*address*/,
+                                         connection_handler /*handler*/) override
+    {
+        return done{};
+    }
+
+private:
+    clock_source &m_clock;
+    std::shared_ptr<frame_connection> m_connection;
+    milliseconds m_delay;
+};
+
+using call_outcome = std::optional<result<response_message, network_failure>>;
+
+asio::awaitable<void> invokeOnce(std::shared_ptr<rpc_client> client, steady_span timeout,
+                                 call_outcome &outcome)
+{
+    const call message{0, transfer_leadership_request{}};
+    outcome = co_await client->invoke(message, timeout);
+}
+
 asio::awaitable<void> startRun(worker_client &client, worker_response &response)
 {
     worker_call_target target;
@@ -80,6 +167,48 @@
 
 } // namespace
 
+// A leader that was busy dropped answers which had arrived in time: it found the end of the wait
+// and the answer in the same turn of its loop, and counted runs as unconfirmed that were started.
+TEST(rpc_client, prefersAnAnswerThatHasArrivedToTheEndOfItsWait)
+{
+    asio::io_context context(1);
+    system_clock_source clock(context.get_executor());
+    causal_clock stamps(clock);
+    const auto connection =
+            std::make_shared<busy_connection>(context.get_executor(), milliseconds(30));
+    single_network links(clock, connection, milliseconds(0));
+    const auto client =
+            std::make_shared<rpc_client>(context.get_executor(), clock, links, stamps, peerAddress);
+    call_outcome outcome;
+    asio::co_spawn(context, invokeOnce(client, milliseconds(25), outcome), asio::detached);
+    while (!outcome) {
+        context.run_one();
+    }
+    EXPECT_FALSE(failed(*outcome));
+}
+
+// A call whose connection opens when its time is over would be sent for nobody to wait for.
+TEST(rpc_client, sendsNothingOnceItsTimeIsOver)
+{
+    auto context = std::make_unique<asio::io_context>(1);
+    fake_clock clock(*context);
+    causal_clock stamps(clock);
+    const auto connection =
+            std::make_shared<busy_connection>(context->get_executor(), milliseconds(0));
+    single_network links(clock, connection, milliseconds(1500));
+    const auto client = std::make_shared<rpc_client>(context->get_executor(), clock, links, stamps,
+                                                     peerAddress);
+    call_outcome outcome;
+    asio::co_spawn(*context, invokeOnce(client, seconds(1), outcome), asio::detached);
+    clock.advance(milliseconds(1400));
+    clock.advance(seconds(2));
+    context.reset();
+    ASSERT_TRUE(outcome.has_value());
+    ASSERT_TRUE(failed(*outcome));
+    EXPECT_EQ(failureOf(*outcome).reason, network_failure::kind::connectFailed);
+    EXPECT_EQ(connection->unreadBytes(), 0U);
+}
+
 // A start counts as never sent only when it certainly was not: the task then starts elsewhere.
 TEST(relayed_worker_client, takesNoStrangeAnswerForACallThatWasNeverSent)
 {
