control: Measure and log where the leader's time goes, by kind of work

Nothing told what a leader's second is spent on besides the rounds. The leader logs one line leader-work a second with count and milliseconds of each kind and the processor time of the thread, and the totals are metrics. A section costs two readings of the clock.

--- a/Source/Common/clock_source.cxx
+++ b/Source/Common/clock_source.cxx
@@ -59,6 +59,13 @@
     return std::chrono::system_clock::now();
 }
 
+steady_span system_clock_source::processorTime() const
+{
+    std::timespec time = {};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 std::unique_ptr<wait_timer> system_clock_source::makeTimer()
 {
     return std::make_unique<system_wait_timer>(m_executor);
--- a/Source/Common/clock_source.h
+++ b/Source/Common/clock_source.h
@@ -38,6 +38,17 @@
     // Returns the wall-clock time. It may jump, so it is for records and logs only; decisions use
     // now().
     [[nodiscard]] virtual std::chrono::system_clock::time_point wallTime() const = 0;
+    // Returns a time of which the difference between two calls is taken for the work done between
+    // them.
+    [[nodiscard]] virtual steady_span workTime() const
+    {
+        return now().time_since_epoch();
+    }
+    // Returns the processor time that the calling thread has used, as far as it is known.
+    [[nodiscard]] virtual steady_span processorTime() const
+    {
+        return steady_span(0);
+    }
     // Creates a timer that uses this clock.
     virtual std::unique_ptr<wait_timer> makeTimer() = 0;
     // Suspends the calling coroutine for the duration.
@@ -51,6 +62,7 @@
     explicit system_clock_source(boost::asio::any_io_executor executor);
     [[nodiscard]] steady_time now() const override;
     [[nodiscard]] std::chrono::system_clock::time_point wallTime() const override;
+    [[nodiscard]] steady_span processorTime() const override;
     std::unique_ptr<wait_timer> makeTimer() override;
 
 private:
--- a/Source/Consensus/replica.cxx
+++ b/Source/Consensus/replica.cxx
@@ -46,13 +46,14 @@
 
 replica::replica(asio::any_io_executor executor, clock_source &clock, random_source &random,
                  network &links, disk &files, timeline &events, metrics_registry &metricsRegistry,
-                 replica_options options, state_machine &state)
+                 replica_options options, state_machine &state, work_meter *work)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_random(random)
     , m_links(links)
     , m_events(events)
     , m_metricsRegistry(metricsRegistry)
+    , m_work(work)
     , m_options(std::move(options))
     , m_state(state)
     , m_storage(files)
@@ -250,6 +251,7 @@
     if (entry.kind != log_entry_kind::command) {
         return;
     }
+    const metered_work section(m_work, work_kind::applies);
     auto outcome = m_state.apply(entry.index, entry.payload);
     if (!outcome) {
         logError(log_part::consensus, "Entry " + std::to_string(entry.index)
@@ -281,13 +283,19 @@
     }
 }
 
+std::string replica::saveState()
+{
+    const metered_work section(m_work, work_kind::snapshots);
+    return m_state.saveSnapshot();
+}
+
 asio::awaitable<void> replica::takeSnapshot()
 {
     stored_snapshot snapshot;
     snapshot.index = m_appliedIndex;
     snapshot.term = termAt(m_appliedIndex);
     snapshot.group = groupAt(m_appliedIndex);
-    snapshot.state = m_state.saveSnapshot();
+    snapshot.state = saveState();
     const auto lock = co_await m_storageLock.acquire();
     if (snapshot.index <= m_snapshot.index) {
         co_return;
@@ -402,7 +410,7 @@
     auto &client = m_clients[address];
     if (!client) {
         client = std::make_shared<rpc_client>(m_executor, m_clock, m_links, m_events.stamps(),
-                                              address);
+                                              address, m_work);
     }
     return client;
 }
--- a/Source/Consensus/replica.h
+++ b/Source/Consensus/replica.h
@@ -10,6 +10,7 @@
 
 #include "Common/async_lock.h"
 #include "Common/metrics_registry.h"
+#include "Common/work_meter.h"
 #include "Common/random_source.h"
 #include "Common/timeline.h"
 #include "Consensus/replica_storage.h"
@@ -94,7 +95,7 @@
 public:
     replica(boost::asio::any_io_executor executor, clock_source &clock, random_source &random,
             network &links, disk &files, timeline &events, metrics_registry &metricsRegistry,
-            replica_options options, state_machine &state);
+            replica_options options, state_machine &state, work_meter *work = nullptr);
 
     // Loads the data folder. Must succeed before start() is called. Fails on input/output errors
     // and when a stored file is corrupt.
@@ -194,6 +195,7 @@
     boost::asio::awaitable<void> runLogWriter();
     boost::asio::awaitable<void> runApplier();
     void applyEntry(const log_entry &entry);
+    std::string saveState();
     boost::asio::awaitable<void> takeSnapshot();
     void completeProposal(std::uint64_t index, std::uint64_t term, std::any outcome);
     void abandonProposalsBefore(std::uint64_t index);
@@ -234,6 +236,7 @@
     network &m_links;
     timeline &m_events;
     metrics_registry &m_metricsRegistry;
+    work_meter *m_work;
     replica_options m_options;
     state_machine &m_state;
     replica_storage m_storage;
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "Common/wake_event.h"
+#include "Common/work_meter.h"
 #include "Dispatch/worker_lease.h"
 #include "Fleet/fleet_state_machine.h"
 #include "Scheduling/crash_suspects.h"
@@ -48,6 +49,7 @@
     fleet_state_machine &machine;
     worker_client &workers;
     dispatch_timing timing;
+    work_meter &work;
 };
 
 // The leader's view of a run, which is more detailed than the replicated state.
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -20,6 +20,7 @@
 // A wake-up that is later than this is logged, at most once in each report interval.
 constexpr auto reportedLag = std::chrono::milliseconds(50);
 constexpr auto lagReportInterval = std::chrono::seconds(1);
+constexpr auto workReportInterval = std::chrono::seconds(1);
 // A replica that has confirmed no append request for longer is not used as a relay.
 constexpr auto relaySilenceLimit = std::chrono::milliseconds(700);
 // A replica that responds again is used as a relay after this time.
@@ -57,14 +58,15 @@
     : m_settings(settings)
     , m_links(links)
     , m_events(events)
+    , m_work(clock, metricsRegistry)
     , m_machine(clock)
     , m_replica(executor, clock, random, links, files, events, metricsRegistry, settings.replicas,
-                m_machine)
+                m_machine, &m_work)
     , m_directWorkers(workers)
     , m_relayedWorkers(executor, clock, links, events.stamps(), metricsRegistry, workers,
-                       settings.timing.responseTimeout)
-    , m_context{executor,         clock,          metricsRegistry, m_replica, m_machine,
-                m_relayedWorkers, settings.timing}
+                       settings.timing.responseTimeout, &m_work)
+    , m_context{executor,         clock,           metricsRegistry, m_replica, m_machine,
+                m_relayedWorkers, settings.timing, m_work}
 {}
 
 fleet_server::~fleet_server()
@@ -79,11 +81,12 @@
         co_return settings_failure{settings_failure::kind::badValue, "", "[fleet] data",
                                    describe(failureOf(opened))};
     }
-    const auto listening =
-            serveCalls(m_context.executor, m_links, m_events.stamps(), m_settings.listen,
-                       [this](call message, host_address /*peer*/) {
-                           return handleCall(std::move(message));
-                       });
+    const auto listening = serveCalls(
+            m_context.executor, m_links, m_events.stamps(), m_settings.listen,
+            [this](call message, host_address /*peer*/) {
+                return handleCall(std::move(message));
+            },
+            &m_work);
     if (failed(listening)) {
         co_return settings_failure{settings_failure::kind::badValue, "", "[fleet] listen",
                                    describe(failureOf(listening))};
@@ -111,6 +114,7 @@
     while (!m_stopping) {
         recordLag(m_context.clock.now() - wakeDue);
         recordLease();
+        recordWork();
         const bool current =
                 m_leadership && m_replica.isLeader() && m_replica.term() == m_leadership->term;
         if (m_leadership && !current) {
@@ -189,6 +193,40 @@
     m_longestLag = steady_span(0);
 }
 
+// Exports how much time each kind of work takes, and logs it for a leader.
+void fleet_server::recordWork()
+{
+    const steady_time now = m_context.clock.now();
+    if (now - m_workReportedAt < workReportInterval) {
+        return;
+    }
+    m_work.exportTotals();
+    const work_totals totals = m_work.totals();
+    const steady_span processor = m_context.clock.processorTime();
+    if (m_leadership) {
+        const auto counted = [&](work_kind kind) {
+            const auto index = static_cast<std::size_t>(kind);
+            const work_total &before = m_reportedWork[index];
+            return std::to_string(totals[index].count - before.count) + "/"
+                   + std::to_string(toMilliseconds(totals[index].time - before.time));
+        };
+        logEvent(log_part::control, "leader-work",
+                 {{"for_ms", toMilliseconds(now - m_workReportedAt)},
+                  {"processor_ms", toMilliseconds(processor - m_reportedProcessorTime)},
+                  {"rounds", counted(work_kind::rounds)},
+                  {"reports", counted(work_kind::reports)},
+                  {"sends", counted(work_kind::sends)},
+                  {"answers", counted(work_kind::answers)},
+                  {"appends", counted(work_kind::appends)},
+                  {"applies", counted(work_kind::applies)},
+                  {"served", counted(work_kind::served)},
+                  {"snapshots", counted(work_kind::snapshots)}});
+    }
+    m_workReportedAt = now;
+    m_reportedWork = totals;
+    m_reportedProcessorTime = processor;
+}
+
 // Logs when a leader loses or regains the lease that lets it answer.
 void fleet_server::recordLease()
 {
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -96,6 +96,7 @@
     boost::asio::awaitable<void> watchLeadership();
     void recordLag(steady_span lag);
     void recordLease();
+    void recordWork();
     void updateRelays();
     [[nodiscard]] bool usesRelays() const;
     [[nodiscard]] std::vector<host_address> steadyReplicas();
@@ -108,6 +109,7 @@
     fleet_settings m_settings;
     network &m_links;
     timeline &m_events;
+    work_meter m_work;
     fleet_state_machine m_machine;
     replica m_replica;
     worker_client &m_directWorkers;
@@ -122,6 +124,10 @@
     // How late watchLeadership() woke up, at most, since the last report.
     steady_span m_longestLag{0};
     steady_time m_lagReportedAt{};
+    // As of the last report.
+    work_totals m_reportedWork;
+    steady_span m_reportedProcessorTime{0};
+    steady_time m_workReportedAt{};
     bool m_leaseHeld = false;
     steady_time m_leaseChangedAt{};
 };
--- a/Source/Dispatch/relayed_worker_client.cxx
+++ b/Source/Dispatch/relayed_worker_client.cxx
@@ -73,13 +73,15 @@
                                              network &links, causal_clock &stamps,
                                              metrics_registry &metricsRegistry,
                                              worker_client &direct,
-                                             std::chrono::milliseconds responseTimeout)
+                                             std::chrono::milliseconds responseTimeout,
+                                             work_meter *work)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_links(links)
     , m_stamps(stamps)
     , m_direct(direct)
     , m_responseTimeout(responseTimeout)
+    , m_work(work)
     , m_relayedCalls(metricsRegistry.at("mango_relayed_calls_total"))
     , m_failedCalls(metricsRegistry.at("mango_relayed_calls_failed_total"))
     , m_relayCount(metricsRegistry.at("mango_relays"))
@@ -100,8 +102,8 @@
     for (host_address &address : relays) {
         relay &one = m_relays[address];
         if (!one.client) {
-            one.client =
-                    std::make_shared<rpc_client>(m_executor, m_clock, m_links, m_stamps, address);
+            one.client = std::make_shared<rpc_client>(m_executor, m_clock, m_links, m_stamps,
+                                                      address, m_work);
             changed = true;
         }
     }
--- a/Source/Dispatch/relayed_worker_client.h
+++ b/Source/Dispatch/relayed_worker_client.h
@@ -27,7 +27,8 @@
     // must outlive the client.
     relayed_worker_client(boost::asio::any_io_executor executor, clock_source &clock,
                           network &links, causal_clock &stamps, metrics_registry &metricsRegistry,
-                          worker_client &direct, std::chrono::milliseconds responseTimeout);
+                          worker_client &direct, std::chrono::milliseconds responseTimeout,
+                          work_meter *work = nullptr);
 
     // Replaces the relays, in ascending order. The calls in progress of those that left fail at
     // once.
@@ -63,6 +64,7 @@
     causal_clock &m_stamps;
     worker_client &m_direct;
     std::chrono::milliseconds m_responseTimeout;
+    work_meter *m_work;
     std::uint64_t &m_relayedCalls;
     std::uint64_t &m_failedCalls;
     std::uint64_t &m_relayCount;
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -245,6 +245,7 @@
             co_await state->context.clock.sleepFor(batchingDelay * 5);
             continue;
         }
+        const metered_work section(&state->context.work, work_kind::rounds);
         const steady_time roundBegin = state->context.clock.now();
         state->changed = false;
         expireSilentWorkers(state);
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -188,6 +188,7 @@
 void processReport(const dispatch_handle &state, const tracked_worker_handle &worker,
                    const worker_report &report)
 {
+    const metered_work section(&state->context.work, work_kind::reports);
     const steady_time now = state->context.clock.now();
     recordClock(*worker, report.clock, now);
     recordWorkerHeardAgain(state, worker);
--- a/Source/Wire/rpc.cxx
+++ b/Source/Wire/rpc.cxx
@@ -35,12 +35,13 @@
 };
 
 rpc_client::rpc_client(asio::any_io_executor executor, clock_source &clock, network &transport,
-                       causal_clock &causalClock, host_address peer)
+                       causal_clock &causalClock, host_address peer, work_meter *work)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_transport(transport)
     , m_causalClock(causalClock)
     , m_peer(std::move(peer))
+    , m_work(work)
     , m_connected(clock)
 {}
 
@@ -68,7 +69,7 @@
     const std::uint64_t receivedBefore = m_framesReceived;
     const auto connection = m_connection;
     m_pendingCalls[correlation] = &pending;
-    connection->send({correlation, m_causalClock.tick(), false, encode(message)});
+    send(*connection, correlation, message);
     co_await pending.timer->waitFor(deadline - m_clock.now());
     const std::size_t turns = pending.outcome ? 0 : turnsToRead(connection->unreadBytes());
     for (std::size_t turn = 0; turn < turns && !pending.outcome; ++turn) {
@@ -84,6 +85,13 @@
     co_return network_failure{network_failure::kind::timedOut, m_peer, ""};
 }
 
+void rpc_client::send(frame_connection &connection, std::uint64_t correlation, const call &message)
+{
+    const bool isAppend = std::holds_alternative<append_request>(message.message);
+    const metered_work section(m_work, isAppend ? work_kind::appends : work_kind::sends);
+    connection.send({correlation, m_causalClock.tick(), false, encode(message)});
+}
+
 asio::awaitable<result<done, network_failure>> rpc_client::ensureConnected(steady_span timeout)
 {
     while (m_connecting) {
@@ -125,22 +133,27 @@
             }
             co_return;
         }
-        const frame &message = valueOf(received);
-        m_causalClock.observe(message.timestamp);
-        ++m_framesReceived;
-        const auto found = m_pendingCalls.find(message.correlation);
-        if (!message.isResponse || found == m_pendingCalls.end()) {
-            continue;
-        }
-        response_message response;
-        if (decode(message.payload, response)) {
-            found->second->outcome = std::move(response);
-        } else {
-            found->second->outcome =
-                    network_failure{network_failure::kind::invalidFrame, m_peer, "not an answer"};
-        }
-        found->second->timer->cancel();
+        processResponse(valueOf(received));
+    }
+}
+
+void rpc_client::processResponse(const frame &message)
+{
+    const metered_work section(m_work, work_kind::answers);
+    m_causalClock.observe(message.timestamp);
+    ++m_framesReceived;
+    const auto found = m_pendingCalls.find(message.correlation);
+    if (!message.isResponse || found == m_pendingCalls.end()) {
+        return;
+    }
+    response_message response;
+    if (decode(message.payload, response)) {
+        found->second->outcome = std::move(response);
+    } else {
+        found->second->outcome =
+                network_failure{network_failure::kind::invalidFrame, m_peer, "not an answer"};
     }
+    found->second->timer->cancel();
 }
 
 void rpc_client::failPendingCalls()
@@ -164,27 +177,41 @@
 
 namespace {
 
+bool decodeCall(const frame &message, call &received, work_meter *work)
+{
+    const metered_work section(work, work_kind::served);
+    return decode(message.payload, received);
+}
+
+void respond(frame_connection &connection, std::uint64_t correlation, std::uint64_t timestamp,
+             const response_message &response, work_meter *work)
+{
+    const metered_work section(work, work_kind::served);
+    connection.send({correlation, timestamp, true, encode(response)});
+}
+
 asio::awaitable<void> handleCall(std::shared_ptr<frame_connection> connection,
-                                 causal_clock &causalClock, call_handler handler, frame message)
+                                 causal_clock &causalClock, call_handler handler, frame message,
+                                 work_meter *work)
 {
     call received;
     response_message response = call_refused{"not a call"};
-    if (decode(message.payload, received)) {
+    if (decodeCall(message, received, work)) {
         response = co_await handler(std::move(received), connection->peer());
     }
-    connection->send({message.correlation, causalClock.tick(), true, encode(response)});
+    respond(*connection, message.correlation, causalClock.tick(), response, work);
 }
 
 } // namespace
 
 result<done, network_failure> serveCalls(asio::any_io_executor executor, network &transport,
                                          causal_clock &causalClock, const host_address &address,
-                                         call_handler handler)
+                                         call_handler handler, work_meter *work)
 {
     return transport.listen(
             address,
-            [executor, &causalClock,
-             handler](std::shared_ptr<frame_connection> connection) -> asio::awaitable<void> {
+            [executor, &causalClock, handler,
+             work](std::shared_ptr<frame_connection> connection) -> asio::awaitable<void> {
                 while (true) {
                     auto received = co_await connection->receive();
                     if (failed(received)) {
@@ -198,7 +225,7 @@
                     causalClock.observe(valueOf(received).timestamp);
                     asio::co_spawn(executor,
                                    handleCall(connection, causalClock, handler,
-                                              std::move(valueOf(received))),
+                                              std::move(valueOf(received)), work),
                                    asio::detached);
                 }
             });
--- a/Source/Wire/rpc.h
+++ b/Source/Wire/rpc.h
@@ -6,6 +6,7 @@
 
 #include "Common/timeline.h"
 #include "Common/wake_event.h"
+#include "Common/work_meter.h"
 #include "Wire/messages.h"
 #include "Wire/network.h"
 
@@ -18,7 +19,7 @@
 {
 public:
     rpc_client(boost::asio::any_io_executor executor, clock_source &clock, network &transport,
-               causal_clock &causalClock, host_address peer);
+               causal_clock &causalClock, host_address peer, work_meter *work = nullptr);
     ~rpc_client();
 
     // Sends the call and returns its response; fails when the connection fails or the timeout ends.
@@ -38,6 +39,8 @@
     struct pending_call;
 
     boost::asio::awaitable<result<done, network_failure>> ensureConnected(steady_span timeout);
+    void send(frame_connection &connection, std::uint64_t correlation, const call &message);
+    void processResponse(const frame &message);
     boost::asio::awaitable<void> readResponses(std::shared_ptr<frame_connection> connection);
     void failPendingCalls();
 
@@ -46,6 +49,7 @@
     network &m_transport;
     causal_clock &m_causalClock;
     host_address m_peer;
+    work_meter *m_work;
     std::shared_ptr<frame_connection> m_connection;
     bool m_connecting = false;
     wake_event m_connected;
@@ -62,6 +66,6 @@
 // when the address cannot be used.
 result<done, network_failure> serveCalls(boost::asio::any_io_executor executor, network &transport,
                                          causal_clock &causalClock, const host_address &address,
-                                         call_handler handler);
+                                         call_handler handler, work_meter *work = nullptr);
 
 } // namespace mango
--- a/Tests/Fakes/fake_clock.h
+++ b/Tests/Fakes/fake_clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
@@ -17,7 +18,13 @@
     [[nodiscard]] steady_time now() const override;
     [[nodiscard]] std::chrono::system_clock::time_point wallTime() const override;
     std::unique_ptr<wait_timer> makeTimer() override;
+    [[nodiscard]] steady_span workTime() const override
+    {
+        return readWorkTime ? readWorkTime() : m_now.time_since_epoch();
+    }
 
+    // The source of workTime() when it is set.
+    std::function<steady_span()> readWorkTime;
     // Advances the time from one expiring timer to the next and runs all ready handlers at each
     // step.
     void advance(steady_span span);
