jobs: Tell where the time of a late or failed job went

Each job now has an account: the time of each task by use (waiting, working, overtaken by a copy, failing, vanishing with a worker, stopped, never started), summed up along the chain of steps and tasks that decided when the job ended. `job-over` tells it, with the objective, the first run, starts and runs by outcome; `job-late` repeats it for a job that missed its objective or failed, without sampling by id. `mango_jobs_late_total` counts by queue and largest delay. `job-submitted` tells how long the acceptance took.

Tests: job_account.* (the parts add up to the age; bounded text; the line of a job that failed on three workers).

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -86,11 +86,15 @@
     const std::size_t steps = call.graph.steps.size();
     fleet_command change =
             submit_job{*resolved.job, termsOf(*resolved.route), std::move(call.graph)};
+    const steady_time receivedAt = state->context.clock.now();
     const auto committed = co_await commitCommand(state, std::move(change));
     logEvent(log_part::scheduler, "job-submitted",
              {{"job", formatJobId(*resolved.job)},
               {"queue", queue},
               {"steps", steps},
+              {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  state->context.clock.now() - receivedAt)
+                                  .count()},
               {"outcome", committed ? "accepted" : "uncertain"}});
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -7,6 +7,7 @@
 #include "Common/wake_event.h"
 #include "Dispatch/worker_lease.h"
 #include "Fleet/fleet_state_machine.h"
+#include "Jobs/job_account.h"
 #include "Scheduling/crash_suspects.h"
 #include "Scheduling/image_interference.h"
 #include "Scheduling/run_placement.h"
@@ -246,6 +247,12 @@
     steady_time estimatedAt{};
     // The steps of each occurrence.
     std::map<std::uint32_t, std::vector<tracked_step>> occurrences;
+    // When the start of its first run under this leader was committed.
+    std::optional<steady_time> firstRunAt;
+    std::uint32_t startedRuns = 0;
+    std::array<std::uint32_t, runOutcomeCount> endedRuns{};
+    // Where its time went; empty for a job with a schedule.
+    std::vector<step_account> accounts;
 };
 
 // An end of a run that may be acknowledged to its worker once it is committed.
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -6,6 +6,7 @@
 #include "Common/event_log.h"
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
+#include "Dispatch/job_report.h"
 
 namespace mango {
 
@@ -72,36 +73,12 @@
     stopRunsOf(state, {{number, 0, 0, 0}, 0}, {{number + 1, 0, 0, 0}, 0});
 }
 
-// Logs how a job ended and how long it took.
-void logJobEnd(const dispatch_state &state, std::uint64_t number)
-{
-    const auto tracked = state.jobs.find(number);
-    const auto phase = phaseOf(state.context.machine.state(), number);
-    if (tracked == state.jobs.end() || !phase) {
-        return;
-    }
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-            state.context.clock.now() - tracked->second.knownSince);
-    const job_failure_report *failure = failureOf(state.context.machine.state(), number);
-    const std::string why = toText(failure == nullptr ? job_failure::none : failure->failure);
-    logEvent(log_part::scheduler, "job-over",
-             {{"job", formatJobId(number)},
-              {"queue", tracked->second.queue},
-              {"phase", toText(*phase)},
-              {"age_ms", age.count()},
-              {"failure", why},
-              {"task", failure == nullptr ? "none" : toText(failure->task)},
-              {"count", failure == nullptr ? 0 : failure->count}});
-    if (failure != nullptr) {
-        ++state.context.metricsRegistry.at("mango_jobs_failed_total{failure=\"" + why + "\"}");
-    }
-}
-
 void addJob(dispatch_state &state, std::uint64_t number, const job_state &job)
 {
     tracked_job tracked;
     tracked.knownSince = state.context.machine.knownSince(number);
     tracked.queue = job.queueParameters.pathPrefix;
+    beginAccount(state, tracked, job);
 
     for (const auto &[at, occurrence] : job.occurrences) {
         auto &steps = tracked.occurrences[at];
@@ -229,6 +206,7 @@
         }
         tracked_run &run = worker->runs.at(started.key);
         run.phase = run_phase::starting;
+        countStartedRun(*state, started.key);
         if (run.stopRequested || worker->exited) {
             queueRunEnd(*state, worker, run, run_outcome::neverStarted, "");
             continue;
@@ -262,6 +240,7 @@
         const tracked_worker_handle worker =
                 where == state->workerByRun.end() ? nullptr : where->second;
         const auto runTime = worker ? unthrottledRunTime(*state, *worker, end.key) : std::nullopt;
+        accountForRun(*state, end, worker);
         removeRun(*state, end.key);
         affectedJobs.insert(key.job);
         if (const auto tracked = state->jobs.find(key.job); tracked != state->jobs.end()) {
@@ -294,7 +273,7 @@
     for (const std::uint64_t number : affectedJobs) {
         const auto job = jobs.find(number);
         if (job == jobs.end() || !isOpen(job->second)) {
-            logJobEnd(*state, number);
+            reportJobEnd(*state, number);
             closeJob(state, number);
         }
     }
@@ -316,7 +295,7 @@
     for (const explain_silences::explanation &one : change.explanations) {
         const auto job = jobs.find(one.key.task.job);
         if (job == jobs.end() || !isOpen(job->second)) {
-            logJobEnd(*state, one.key.task.job);
+            reportJobEnd(*state, one.key.task.job);
             closeJob(state, one.key.task.job);
         }
     }
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -31,6 +31,7 @@
     // The worker was silent until the lease had certainly expired. It may have crashed.
     workerSilent
 };
+inline constexpr std::size_t runOutcomeCount = 10;
 
 // Returns the name of the phase in API responses and log lines.
 std::string toText(job_phase phase);
