scheduler: Keep large rooms free for short tasks with many cores

Long-running tasks request most of the cores, so that a worker has few left; a short task went to the worker with the MOST free cores, and so small tasks took the last large rooms.

A short task now goes where the fewest cores remain, after workers with long-running tasks as before.

--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -73,7 +73,7 @@
                 - countAt(*request.runsPerDomain, record.failureDomain) * sameDomainCost;
     } else {
         constexpr std::int64_t besideLongRunning = 100'000;
-        score = free + (offer.longRunningMilliCores > 0 ? besideLongRunning : 0);
+        score = (offer.longRunningMilliCores > 0 ? besideLongRunning : 0) - free;
     }
     if (!step.dataRack.empty() && !record.hasLabel(step.dataRack)) {
         constexpr std::int64_t otherRackCost = 200'000;
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -132,7 +132,8 @@
 // tasks and best-effort tasks beside long-running ones. Long-running tasks are spread over the
 // failure domains, and those of one image share workers, so that each best-effort image finds
 // workers on which it interferes with none of them. Short tasks go to workers with long-running
-// tasks first.
+// tasks first, and to those where the fewest cores remain, so that large tasks find room on a
+// service that is nearly full.
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request);
 
 // Returns the same, without a look at the offers when an earlier request of the round was rejected
