scheduler: Trust workers by what their runs have shown

- After a backoff a worker gets one run at a time until one was done, before that by queues of lower priority for 3 s (probe).
- After a single failure it comes after all others for 3 s.
- A task that has failed or was moved prefers workers on which a run was done within the last 4 s.
- A worker of which no run advances at the pace that its queue's runs show elsewhere (2.5 times slower, also best-effort runs that have all of their cores) comes after all others until a run shows otherwise; it is tried again after 3 s, by the highest priority after 12 s.

Fake workers can fail at once and be slow.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include "Scheduling/run_progress.h"
 #include "Scheduling/run_times.h"
 #include "Scheduling/step_order.h"
+#include "Scheduling/worker_soundness.h"
 
 namespace mango {
 
@@ -107,6 +108,9 @@
     steady_time startSentAt{};
     // The share of the work that is done.
     std::uint32_t progressPercent = 0;
+    // The pace is measured from this percentage and time on.
+    std::uint32_t paceFromPercent = 0;
+    std::optional<steady_time> paceFrom;
     // When `progressPercent` last changed, and when the worker last reported it.
     steady_time progressedAt{};
     steady_time reportedAt{};
@@ -157,14 +161,14 @@
     // The latest lease end that any leader may have granted, on the worker's clock.
     worker_time leasedUntil{0};
     steady_time heardAt{};
-    // Backoff after failed or stalled runs: it gets only tasks of starved steps until then.
+    // When the backoff after failed or stalled runs began.
     steady_time backoffStartedAt{};
-    steady_time backoffUntil{};
+    // What its runs have shown; `hasProbe` is not maintained here.
+    worker_soundness soundness;
     // It gets no new work until then, since it refused a request or could not be reached.
     steady_time refusesUntil{};
     // The highest sequence number of its announcements.
     std::uint64_t lastSequence = 0;
-    worker_failure_streak failureStreak;
     steady_time stalledAt{};
     std::map<run_key, tracked_run> runs;
     std::uint32_t runsOnTrial = 0;
@@ -400,6 +404,12 @@
 boost::asio::awaitable<void> resolveUnansweredStart(dispatch_handle state,
                                                     tracked_worker_handle worker, run_key key);
 
+// Returns what the runs of a worker have shown of it.
+worker_soundness soundnessOf(const tracked_worker &worker);
+
+// Updates what is known of the speed of a worker from the progress that it has just reported.
+void recordPace(dispatch_state &state, const tracked_worker_handle &worker);
+
 // Updates the failure streak of a worker after one of its runs was done, failed or stalled; may
 // begin a backoff.
 void recordRunHealth(dispatch_state &state, const tracked_worker_handle &worker,
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -53,7 +53,9 @@
             avoidedWorkers == ready.tracked->avoidedWorkers.end() ? nullptr
                                                                   : &avoidedWorkers->second,
             &state.interference,
-            imageId(state.interference, step.image)};
+            imageId(state.interference, step.image),
+            false,
+            ready.urgency.priority == 0};
 }
 
 // True when the run ends by itself some time, or is about to be stopped.
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -53,7 +53,12 @@
     offer.longRunningImages = worker.longRunningImages;
     offer.bestEffortMilliCores = worker.bestEffortMilliCores;
     offer.latencyCritical = std::move(tasks.latencyCritical);
-    offer.inBackoff = now < worker.backoffUntil;
+    const worker_doubt doubt = doubtOf(soundnessOf(worker), now);
+    offer.inBackoff = doubt.rests;
+    offer.oneAtATime = doubt.oneAtATime;
+    offer.urgentCost = doubt.urgentCost;
+    offer.otherCost = doubt.otherCost;
+    offer.retryCost = doubt.retryCost;
     return offer;
 }
 
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -75,6 +75,11 @@
         constexpr std::int64_t besideLongRunning = 100'000;
         score = (offer.longRunningMilliCores > 0 ? besideLongRunning : 0) - free;
     }
+    score -= request.urgent ? offer.urgentCost : offer.otherCost;
+    // The task has run elsewhere before, without success.
+    if (request.avoidedWorkers != nullptr) {
+        score -= offer.retryCost;
+    }
     if (!step.dataRack.empty() && !record.hasLabel(step.dataRack)) {
         constexpr std::int64_t otherRackCost = 200'000;
         score -= otherRackCost;
@@ -283,6 +288,7 @@
 void reserveResources(worker_offer &offer, const placement_request &request)
 {
     const job_step &step = *request.step;
+    offer.inBackoff = offer.inBackoff || offer.oneAtATime;
     offer.used.memoryMb += step.resources.memoryMb;
     offer.used.accelerators += step.resources.accelerators;
     if (step.bestEffort) {
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -32,6 +32,13 @@
     std::vector<latency_critical_task> latencyCritical;
     // The last runs failed or stalled, so that the worker gets only tasks of starved steps.
     bool inBackoff = false;
+    // It gets one more task, and is in backoff then.
+    bool oneAtATime = false;
+    // Subtracted from the score for tasks of the highest priority, for others, and for tasks that
+    // have failed before.
+    std::int64_t urgentCost = 0;
+    std::int64_t otherCost = 0;
+    std::int64_t retryCost = 0;
     // Set for a worker that gets no new work at all now.
     bool unavailable = false;
 };
@@ -52,6 +59,8 @@
     // long-running task has waited for a long time. One task may then run beside latency-critical
     // tasks that it interferes with, where it is throttled, or on a worker in backoff.
     bool starved = false;
+    // The queue has the highest priority.
+    bool urgent = false;
 };
 
 // Why a worker cannot run one more task of a step.
--- a/Source/Scheduling/run_times.cxx
+++ b/Source/Scheduling/run_times.cxx
@@ -20,10 +20,15 @@
     observed.mean += (std::chrono::duration<double, std::milli>(runTime) - observed.mean) * weight;
 }
 
+bool isReliable(const run_times &observed)
+{
+    return observed.runs >= minimumRuns;
+}
+
 std::chrono::milliseconds expectedRunTime(const run_times &observed,
                                           std::chrono::milliseconds estimate)
 {
-    if (observed.runs < minimumRuns) {
+    if (!isReliable(observed)) {
         return estimate;
     }
     const auto mean = std::chrono::duration_cast<std::chrono::milliseconds>(observed.mean);
--- a/Source/Scheduling/run_times.h
+++ b/Source/Scheduling/run_times.h
@@ -18,6 +18,9 @@
 // Adds the run time of a completed run that was not slowed down.
 void recordRunTime(run_times &observed, std::chrono::milliseconds runTime);
 
+// Returns true when enough runs were seen to tell how long a task of the queue usually takes.
+bool isReliable(const run_times &observed);
+
 // Returns the expected run time of a task with the given estimate. The estimates of callers are off
 // by up to 90%, so that the observed mean of the queue counts as much as the estimate once enough
 // runs were seen.
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -214,9 +214,13 @@
     if (const auto done = m_doneOn.find(request.key.task); done != m_doneOn.end()) {
         repeatedRuns.push_back(toText(request.key) + " was done on " + done->second);
     }
-    worker.running[request.key] = {request.checkpoint, m_clock.now(),
-                                   durationOf ? durationOf(request.key) : runDuration,
-                                   std::nullopt};
+    std::chrono::milliseconds duration = durationOf ? durationOf(request.key) : runDuration;
+    if (worker.failsEveryRun && worker.failsAfter) {
+        duration = *worker.failsAfter;
+    }
+    duration = std::chrono::milliseconds(
+            static_cast<std::int64_t>(static_cast<double>(duration.count()) * worker.slowness));
+    worker.running[request.key] = {request.checkpoint, m_clock.now(), duration, std::nullopt};
     starts.push_back({worker.record.incarnation.id, request.key, m_clock.now(),
                       request.specification, request.checkpoint});
     if (milliCoresOf) {
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -37,6 +37,10 @@
     std::optional<std::chrono::milliseconds> startDelay;
     // All runs fail when they end.
     bool failsEveryRun = false;
+    // After this time, if it is set, instead of the duration of the run.
+    std::optional<std::chrono::milliseconds> failsAfter;
+    // Runs that start take so many times as long.
+    double slowness = 1;
     // How long a run goes on after a request to stop it.
     std::chrono::milliseconds stopDuration{0};
     // Runs make no progress and do not end.
