scheduler: Move runs from slow workers early enough for their jobs

A run that advances was never moved, however slow its worker was: a task of 1 s without copies stayed on a worker that is 6.7 times slower than others, and made its job late. Also the total time of a run was extrapolated from its present age and a percentage that may be one second old, so that sound runs looked slow.

The total is extrapolated from the age at the last report.

--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -62,7 +62,9 @@
     // Time in which the worker has reported nothing tells nothing about the progress.
     progress.stalledFor = std::chrono::duration_cast<std::chrono::milliseconds>(run.reportedAt
                                                                                 - run.progressedAt);
+    progress.sinceReport = since(run.reportedAt);
     progress.progressPercent = run.progressPercent;
+    progress.workerIsSlow = worker.soundness.slowAt.has_value();
     progress.estimate = expected;
     progress.workerSilentFor = since(worker.heardAt);
     progress.unconfirmed = run.phase == run_phase::unconfirmed;
@@ -108,12 +110,14 @@
             logEvent(log_part::scheduler, "run-moved",
                      {{"run", toText(key)},
                       {"worker", worker->record.incarnation.id},
-                      {"why", "stands-still"},
+                      {"why", progress.workerIsSlow ? "slow-worker" : "stands-still"},
                       {"percent", run.progressPercent},
                       {"age_ms", progress.age.count()},
                       {"standing_ms", progress.stalledFor.count()},
                       {"expected_ms", expected.count()}});
-            recordRunHealth(*state, worker, run, run_outcome::stopped, true);
+            if (!progress.workerIsSlow) {
+                recordRunHealth(*state, worker, run, run_outcome::stopped, true);
+            }
             requestStop(state, worker, run);
             continue;
         }
