dispatch: Learn the room of a worker from its refusals

Callers' tasks were sent to a worker that had shrunk and came back; the worker then got nothing for 1.5 s, also when it had room or had announced its new capacity, and was sent starts for all of its announced capacity again after that: 72 refused starts in 9 s on one worker of 4 cores that announces 16, in shrunk_workers.startsAreRefusedAgainAndAgain.

Cause: a refusal for lack of resources was handled like an unhealthy worker, by a fixed pause, and nothing was learned from it.

A refusal now limits what the worker is offered with to the runs that are certainly on it, until it announces another capacity. Without one, the announced capacity is offered again after a pause that doubles with each refusal in a row; one start at a time is sent while the limit lasts, and each accepted one raises it. A refusal of a start that was sent before the announcement limits nothing. The next leader knows announced capacities from the committed records. New log lines worker-room-limited and worker-room-regained, and mango_worker_room_limited_total.

startsAreRefusedAgainAndAgain, roomLeftAfterARefusalStaysUnused and capacityAnnouncedAfterARefusalStaysUnused failed with the earlier handling (72 refusals; 0 runs on a worker with room for 4; 2 runs of 10) and pass now; the other tests of shrunk_worker_test.cxx passed before.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -9,6 +9,7 @@
 #include "Fleet/fleet_state_machine.h"
 #include "Scheduling/crash_suspects.h"
 #include "Scheduling/image_interference.h"
+#include "Scheduling/observed_capacity.h"
 #include "Scheduling/run_placement.h"
 #include "Scheduling/run_progress.h"
 #include "Scheduling/run_times.h"
@@ -33,8 +34,8 @@
     std::chrono::milliseconds silentAfter{2200};
     // A worker that has been silent for longer and has no runs is removed.
     std::chrono::milliseconds forgetAfter{60'000};
-    // How long a worker gets no new work after it reported to be unhealthy, refused a request for
-    // lack of resources, or could not be reached.
+    // How long a worker gets no new work after it reported to be unhealthy or could not be reached,
+    // and nothing beyond its runs after it refused a start for lack of resources.
     std::chrono::milliseconds refusalBackoff{1500};
 };
 
@@ -161,6 +162,8 @@
     steady_time backoffUntil{};
     // It gets no new work until then, since it refused a request or could not be reached.
     steady_time refusesUntil{};
+    // What it can take as far as its answers to start requests tell.
+    observed_capacity observed;
     // The highest sequence number of its announcements.
     std::uint64_t lastSequence = 0;
     worker_failure_streak failureStreak;
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -6,6 +6,7 @@
 #include "Common/event_log.h"
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
+#include "Dispatch/room_refusals.h"
 
 namespace mango {
 
@@ -193,7 +194,7 @@
     }
     const worker_record &record = committed->second;
     if (const tracked_worker_handle known = findWorker(*state, record.incarnation)) {
-        known->record = record;
+        adoptAnnouncedRecord(*state, *known, record);
         known->current = true;
         markOfferChanged(*state, known);
         return;
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -286,6 +286,8 @@
     ready.tracked->explanationWaitSince.erase(key.task.index);
     tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
     added.placement = reason;
+    // A gang starts as a whole.
+    offer.unavailable = offer.unavailable || (worker->observed.limit && !step.gang);
     started.runs.push_back({key, worker->record.incarnation});
     return added;
 }
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Dispatch/room_refusals.h"
 #include "Dispatch/run_throttling.h"
 
 namespace mango {
@@ -30,7 +31,7 @@
     if (now - worker.heardAt >= state.context.timing.silentAfter) {
         return worker_exclusion::silent;
     }
-    if (now < worker.refusesUntil) {
+    if (now < worker.refusesUntil || awaitsStartAnswer(worker)) {
         return worker_exclusion::refusing;
     }
     return worker.runsOnTrial > 0 ? worker_exclusion::onTrial : worker_exclusion::none;
@@ -48,7 +49,7 @@
     colocated_tasks tasks = colocatedTasksOf(worker, now);
     predictLoads(state.interference, tasks.latencyCritical, tasks.bestEffort, now,
                  placementHorizon);
-    offer.used = worker.used;
+    offer.used = usedInOffer(worker, now);
     offer.longRunningMilliCores = worker.longRunningMilliCores;
     offer.longRunningImages = worker.longRunningImages;
     offer.bestEffortMilliCores = worker.bestEffortMilliCores;
--- a/Source/Dispatch/worker_offers.h
+++ b/Source/Dispatch/worker_offers.h
@@ -18,7 +18,8 @@
     // Not heard by this leader yet.
     unanswered,
     silent,
-    // Refused a request or could not be reached a short time ago.
+    // Refused a request or could not be reached a short time ago, or refused a start for lack of
+    // resources and has not answered the next one.
     refusing,
     // A run on trial has not survived its start yet.
     onTrial
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -6,6 +6,7 @@
 #include "Common/event_log.h"
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
+#include "Dispatch/room_refusals.h"
 #include "Dispatch/run_throttling.h"
 
 namespace mango {
@@ -61,9 +62,7 @@
         state->superseded = true;
     } else if (result == worker_call_result::wrongIncarnation) {
         recordWorkerExit(state, worker, worker_exit_evidence::replacedAtAddress);
-    } else if (result == worker_call_result::unhealthy
-               || result == worker_call_result::insufficientResources
-               || result == worker_call_result::neverSent
+    } else if (result == worker_call_result::unhealthy || result == worker_call_result::neverSent
                || result == worker_call_result::unanswered) {
         worker->refusesUntil = now + state->context.timing.refusalBackoff;
         markOfferChanged(*state, worker);
@@ -394,6 +393,7 @@
             run.phase = run_phase::running;
         }
         confirmRun(run, response.clock.value_or(run.startDeadline));
+        recordRoomAccepted(*state, worker, run);
         if (run.onTrial) {
             asio::co_spawn(state->context.executor, watchTrial(state, worker, key), asio::detached);
         }
@@ -418,6 +418,9 @@
               {"answer", toText(response.result)}});
     ++state->context.metricsRegistry.at("mango_starts_not_confirmed_total{answer=\""
                                         + toText(response.result) + "\"}");
+    if (response.result == worker_call_result::insufficientResources) {
+        recordRoomRefusal(*state, worker, run);
+    }
     if (response.result == worker_call_result::unanswered) {
         run.phase = run.phase == run_phase::starting ? run_phase::unconfirmed : run.phase;
         co_await resolveUnansweredStart(state, worker, key);
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -87,12 +87,18 @@
     forgetDoneOn(worker.record.incarnation.id);
 }
 
-void fake_workers::recordOverload(const fake_worker &worker, const run_key &started)
+std::uint32_t fake_workers::usedMilliCores(const fake_worker &worker) const
 {
     std::uint32_t used = 0;
     for (const auto &[key, run] : worker.running) {
         used += milliCoresOf(key);
     }
+    return used;
+}
+
+void fake_workers::recordOverload(const fake_worker &worker, const run_key &started)
+{
+    const std::uint32_t used = usedMilliCores(worker);
     if (used > worker.record.capacity.milliCores) {
         overloads.push_back(toText(started) + " on " + worker.record.incarnation.id + ": "
                             + std::to_string(used));
@@ -203,6 +209,12 @@
         return {worker_call_result::staleRun, clock};
     }
     worker.leasedUntil = std::max(worker.leasedUntil, request.deadline);
+    if (worker.roomMilliCores && !worker.running.contains(request.key)
+        && usedMilliCores(worker) + milliCoresOf(request.key) > *worker.roomMilliCores) {
+        roomRefusals.push_back({worker.record.incarnation.id, request.key, m_clock.now(),
+                                request.specification, request.checkpoint});
+        return {worker_call_result::insufficientResources, clock};
+    }
     for (auto &[id, other] : m_workers) {
         finishDueRuns(other);
         for (const auto &[key, run] : other.running) {
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -35,6 +35,9 @@
     bool unreachable = false;
     // Start requests take effect after this delay and get no response.
     std::optional<std::chrono::milliseconds> startDelay;
+    // The cores that the worker really has, in thousandths: starts beyond are refused. Needs
+    // `milliCoresOf`; when it is not set, nothing is refused.
+    std::optional<std::uint32_t> roomMilliCores;
     // All runs fail when they end.
     bool failsEveryRun = false;
     // How long a run goes on after a request to stop it.
@@ -98,6 +101,8 @@
     std::function<std::uint32_t(const run_key &)> milliCoresOf;
     // One entry for each start that brought a worker over its capacity.
     std::vector<std::string> overloads;
+    // One entry for each start that was refused for lack of cores.
+    std::vector<recorded_start> roomRefusals;
     // True for tasks that crash each worker that starts them, `crashDelay` after the start.
     std::function<bool(const task_key &)> crashesWorker;
     std::chrono::milliseconds crashDelay{10};
@@ -140,6 +145,7 @@
     void endRun(fake_worker &worker, const run_key &key, run_outcome outcome);
     void finishDueRuns(fake_worker &worker);
     void crash(fake_worker &worker);
+    std::uint32_t usedMilliCores(const fake_worker &worker) const;
     void recordOverload(const fake_worker &worker, const run_key &started);
     void abortGang(const run_key &lost);
     void replaceCrashedWorkers();
