--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -7,6 +7,7 @@
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
 #include "Dispatch/job_report.h"
+#include "Dispatch/room_refusals.h"
 
 namespace mango {
 
@@ -170,7 +171,7 @@
     }
     const worker_record &record = committed->second;
     if (const tracked_worker_handle known = findWorker(*state, record.incarnation)) {
-        known->record = record;
+        adoptAnnouncedRecord(*state, *known, record);
         known->current = true;
         markOfferChanged(*state, known);
         return;
