scheduler: Spread short tasks over workers without long-running ones

Rooms are scarce only beside long-running tasks, since short ones give theirs back within seconds. Workers without long-running tasks are used evenly again, after the others.

--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -73,7 +73,8 @@
                 - countAt(*request.runsPerDomain, record.failureDomain) * sameDomainCost;
     } else {
         constexpr std::int64_t besideLongRunning = 100'000;
-        score = (offer.longRunningMilliCores > 0 ? besideLongRunning : 0) - free;
+        score = offer.longRunningMilliCores > 0 ? besideLongRunning - free
+                                                : -std::int64_t(offer.used.milliCores);
     }
     score -= request.urgent ? offer.urgentCost : offer.otherCost;
     // The task has run elsewhere before, without success.
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -141,8 +141,8 @@
 // tasks and best-effort tasks beside long-running ones. Long-running tasks are spread over the
 // failure domains, and those of one image share workers, so that each best-effort image finds
 // workers on which it interferes with none of them. Short tasks go to workers with long-running
-// tasks first, and to those where the fewest cores remain, so that large tasks find room on a
-// service that is nearly full.
+// tasks first, among these to those with the fewest free cores, so that large tasks find room on a
+// service that is nearly full. They are spread over the other workers.
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request);
 
 // Returns the same, without a look at the offers when an earlier request of the round was rejected
