rounds: Report at most ten waiting steps a second

Callers saw that rounds stayed dear once some hundred steps waited: each step that had waited for 1 s was reported each second, and each report looks at all offers twice, whether or not the log budget then drops its line.

The first ten reports of an interval, of the most urgent steps, are made. The count wait_reports of the line round-work tells how many were.

--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -14,6 +14,9 @@
 // A step that has waited for less is not reported.
 constexpr auto reportedWait = std::chrono::milliseconds(1000);
 constexpr auto waitReportInterval = std::chrono::seconds(1);
+// The most reports of waiting steps in one summary interval. The rounds come to the most urgent
+// steps first.
+constexpr std::uint64_t mostWaitReports = 10;
 
 enum task_kind : std::uint8_t { shortTask, bestEffortTask, longRunningTask };
 constexpr std::size_t taskKindCount = 3;
@@ -144,7 +147,7 @@
     const char *name;
     std::uint64_t round_work::*count;
 };
-constexpr std::array<named_count, 12> workCounts{{
+constexpr std::array<named_count, 13> workCounts{{
         {"offers_updated", &round_work::offersUpdated},
         {"jobs_seen", &round_work::jobsSeen},
         {"steps_ready", &round_work::stepsReady},
@@ -157,6 +160,7 @@
         {"releases_listed", &round_work::releasesListed},
         {"runs_checked", &round_work::runsChecked},
         {"suspects", &round_work::suspects},
+        {"wait_reports", &round_work::waitReports},
 }};
 constexpr std::array<const char *, roundPartCount - 1> partNames{"workers", "offers", "collect",
                                                                  "place",   "hold",   "stragglers"};
@@ -207,16 +211,17 @@
 
 } // namespace
 
-void recordUnplaced(const dispatch_state &state, const round_offers &round,
+void recordUnplaced(dispatch_state &state, const round_offers &round,
                     const std::vector<worker_offer> &offers, const ready_step &ready,
                     const placement_request &request, std::size_t startedBefore)
 {
     const steady_time now = state.context.clock.now();
     unplaced_wait &wait = waitOf(ready);
-    if (!wait.since || now - *wait.since < reportedWait
-        || now - wait.loggedAt < waitReportInterval) {
+    if (!wait.since || now - *wait.since < reportedWait || now - wait.loggedAt < waitReportInterval
+        || state.roundSummary.work.waitReports >= mostWaitReports) {
         return;
     }
+    ++state.roundSummary.work.waitReports;
     wait.loggedAt = now;
     std::int64_t mostCores = 0;
     std::int64_t mostMemory = 0;
@@ -291,7 +296,8 @@
               {"stopping", unsettled.stopping}});
     exportWork(state.context.metricsRegistry, summary.work);
     logWork(summary.work);
-    summary = {now};
+    summary = {};
+    summary.since = now;
 }
 
 } // namespace mango
--- a/Source/Dispatch/round_report.h
+++ b/Source/Dispatch/round_report.h
@@ -6,8 +6,9 @@
 
 // Logs that a task of the step has found no worker, with the number of workers by obstacle, the
 // largest free resources of the given offers and the number of starts that this round decided
-// before. One line per step and interval, and only once the step has waited for a while.
-void recordUnplaced(const dispatch_state &state, const round_offers &round,
+// before. One line per step and interval, only once the step has waited for a while, and at
+// most ten in an interval, since each costs a look at all offers.
+void recordUnplaced(dispatch_state &state, const round_offers &round,
                     const std::vector<worker_offer> &offers, const ready_step &ready,
                     const placement_request &request, std::size_t startedBefore);
 
--- a/Source/Dispatch/round_work.h
+++ b/Source/Dispatch/round_work.h
@@ -50,6 +50,8 @@
     // Runs that the checks for stragglers went through, and those that they looked at closely.
     std::uint64_t runsChecked = 0;
     std::uint64_t suspects = 0;
+    // Reports of steps that wait, each of which looks at all offers.
+    std::uint64_t waitReports = 0;
     // The most ready steps that one round left for the next one.
     std::uint64_t mostStepsLeft = 0;
 
