placement: Find workers with room by an index instead of a look at all offers

So the rounds do the same work, in fewer and longer slices, and the look at all offers is what they do.

A tree over the offers keeps the most free cores, memory and accelerators and the best scores below each node. Changes of offers update a path of it. A short or best-effort task is placed by a search that passes over all that has no room or can't be better; one that fits nowhere costs a look at the root. Ranked steps (long-running, or large with limits) rank only the offers with room.

--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -127,8 +127,14 @@
     if (isRejected(round.rejected, request)) {
         return {};
     }
-    countScan(state.roundSummary.work, round);
-    return chooseOffer(round.offers, request, round.rejected);
+    ++state.roundSummary.work.scansForTask;
+    const std::uint64_t scoredBefore = round.index.offersScored;
+    const offer_choice choice = chooseIndexed(round.index, round.offers, request);
+    state.roundSummary.work.offersScored += round.index.offersScored - scoredBefore;
+    if (choice.index < 0 && choice.excludedByRuns == 0) {
+        round.rejected.push_back({request.step, request.service, request.image, request.starved});
+    }
+    return choice;
 }
 
 // Keeps the resources of a task from all that is placed later in the round, on the worker where
@@ -149,6 +155,7 @@
     }
     worker_offer &offer = round.offers[static_cast<std::size_t>(chosen)];
     reserveResources(offer, request);
+    noteOfferChange(round.index, static_cast<std::size_t>(chosen));
     markOfferChanged(*state, round.workers[static_cast<std::size_t>(chosen)]);
     ++runsPerWorker[offer.record->incarnation];
     ++round.held;
@@ -163,9 +170,10 @@
         return {};
     }
     if (!ranking) {
-        ranking = rankOffers(round.offers, request);
+        const auto withRoom = offersWithRoom(round.index, round.offers, request);
+        ranking = rankOffers(round.offers, withRoom, request);
         ++work.rankings;
-        work.offersScored += round.offers.size();
+        work.offersScored += withRoom.size();
     }
     offer_choice choice;
     choice.candidates = static_cast<std::uint32_t>(ranking->entries.size());
@@ -177,6 +185,14 @@
     return choice;
 }
 
+// True when a ranking for all tasks of a step costs less than a choice from the index for each.
+bool wantsRanking(const job_step &step, std::size_t waitingTasks)
+{
+    constexpr std::size_t manyTasks = 16;
+    return step.longRunning
+           || (waitingTasks > manyTasks && (step.bestEffort || step.perWorkerLimit > 0));
+}
+
 // True when room is held for a gang that does not fit: for a restart at once, else after a while.
 bool deservesHeldRoom(const dispatch_state &state, const ready_step &ready)
 {
@@ -264,6 +280,7 @@
         beginWait(*state, ready);
         if (mayHold && trial.complete) {
             round.offers = std::move(trial.offers);
+            noteAllOffersChanged(round.index);
             state->allOffersChanged = true;
             round.held += static_cast<std::uint32_t>(tasks.size());
         }
@@ -313,6 +330,7 @@
     reason.heardAt = worker->heardAt;
     reason.earlierCrashes = findTask(*ready.committedJob, key.task)->crashRecord.crashes;
     reserveResources(offer, request);
+    noteOfferChange(round.index, chosen);
     ready.tracked->trialWaitSince.erase(key.task.index);
     ready.tracked->explanationWaitSince.erase(key.task.index);
     tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
@@ -330,6 +348,10 @@
     const trial_source candidates = [&](std::size_t at) {
         return trialCandidateOf(*state, *round.workers[at]);
     };
+    // On a full service it is quick to tell that no worker has room.
+    if (offersWithRoom(round.index, round.offers, request).empty()) {
+        return false;
+    }
     ++state->roundSummary.work.scansForTrial;
     const int chosen = chooseTrialOffer(round.offers, candidates, request, company);
     if (chosen < 0) {
@@ -340,6 +362,7 @@
     tracked_run &added = addPlacedRun(state, round, ready, request, key, {"trial"}, at, started);
     beginTrial(*state, round.workers[at], added);
     round.offers[at].unavailable = true;
+    noteOfferChange(round.index, at);
     return true;
 }
 
@@ -348,7 +371,8 @@
                begin_runs &started)
 {
     placement_request request = makeRequest(*state, ready, index);
-    offer_choice chosen = request.avoidedWorkers == nullptr
+    const bool isRanked = ranking || wantsRanking(*request.step, ready.tracked->waiting.size());
+    offer_choice chosen = request.avoidedWorkers == nullptr && isRanked
                                   ? chooseRanked(state->roundSummary.work, round, request, ranking)
                                   : chooseFromAll(*state, round, request);
     const char *reason = "fits";
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -57,7 +57,19 @@
     return offer;
 }
 
-void updateOffer(const dispatch_state &state, round_offers &round, std::size_t at, steady_time now)
+// Returns true when the offers of a worker, whose record has not changed, differ in their
+// resources.
+bool differInRoom(const worker_offer &one, const worker_offer &other)
+{
+    return other.record == nullptr || one.unavailable != other.unavailable
+           || one.inBackoff != other.inBackoff || !(one.used == other.used)
+           || one.longRunningMilliCores != other.longRunningMilliCores
+           || (!one.unavailable && reclaimableMilliCores(one) != reclaimableMilliCores(other));
+}
+
+// Makes the offer of a worker anew. `isForced` is set when the record of the worker may differ.
+void updateOffer(const dispatch_state &state, round_offers &round, std::size_t at, steady_time now,
+                 bool isForced)
 {
     tracked_worker &worker = *round.workers[at];
     worker.offerChanged = false;
@@ -66,7 +78,11 @@
     round.usedMilliCores -= added.usedMilliCores;
     round.capacityMilliCores -= added.capacityMilliCores;
     added = {exclusionOf(state, worker, now)};
-    round.offers[at] = makeOffer(state, worker, added.exclusion, now);
+    worker_offer offer = makeOffer(state, worker, added.exclusion, now);
+    if (isForced || differInRoom(offer, round.offers[at])) {
+        noteOfferChange(round.index, at);
+    }
+    round.offers[at] = std::move(offer);
     if (added.exclusion == worker_exclusion::none) {
         added.usedMilliCores = worker.used.milliCores;
         added.capacityMilliCores = worker.record.capacity.milliCores;
@@ -101,7 +117,7 @@
             // A worker that was removed may still be reported as changed.
             if (worker->offerIndex < round.workers.size()
                 && round.workers[worker->offerIndex] == worker) {
-                updateOffer(state, round, worker->offerIndex, now);
+                updateOffer(state, round, worker->offerIndex, now, true);
                 ++work.offersUpdated;
             }
         }
@@ -117,7 +133,7 @@
     work.offersUpdated += updated;
     for (std::size_t number = 0; number < updated; ++number) {
         round.nextUnchanged = round.nextUnchanged + 1 < count ? round.nextUnchanged + 1 : 0;
-        updateOffer(state, round, round.nextUnchanged, now);
+        updateOffer(state, round, round.nextUnchanged, now, false);
     }
     round.mostlyIdle = round.usedMilliCores * 2 < round.capacityMilliCores;
     round.rejected.clear();
--- a/Source/Dispatch/worker_offers.h
+++ b/Source/Dispatch/worker_offers.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "Dispatch/dispatch_state.h"
+#include "Scheduling/offer_index.h"
 #include "Scheduling/room_forecast.h"
 
 namespace mango {
@@ -47,6 +48,8 @@
     std::uint64_t capacityMilliCores = 0;
     // The offer with which the next round begins to update those whose workers have not changed.
     std::size_t nextUnchanged = 0;
+    // Follows the changes of the offers from round to round.
+    offer_index index;
 
     // Valid for one round.
     //
--- a/Source/Scheduling/offer_ranking.cxx
+++ b/Source/Scheduling/offer_ranking.cxx
@@ -1,6 +1,7 @@
 #include "Scheduling/offer_ranking.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace mango {
 
@@ -14,9 +15,17 @@
 } // namespace
 
 offer_ranking rankOffers(const std::vector<worker_offer> &offers, const placement_request &request)
+{
+    std::vector<std::size_t> all(offers.size());
+    std::iota(all.begin(), all.end(), 0);
+    return rankOffers(offers, all, request);
+}
+
+offer_ranking rankOffers(const std::vector<worker_offer> &offers,
+                         const std::vector<std::size_t> &withRoom, const placement_request &request)
 {
     offer_ranking ranking;
-    for (std::size_t at = 0; at < offers.size(); ++at) {
+    for (const std::size_t at : withRoom) {
         const scored_offer scored = scoreOffer(offers[at], request);
         ranking.excludedByRuns += scored.excludedByRuns ? 1 : 0;
         if (scored.fits) {
--- a/Source/Scheduling/offer_ranking.h
+++ b/Source/Scheduling/offer_ranking.h
@@ -24,6 +24,11 @@
 // Ranks the offers that fit the request, which must not exclude workers for a single task.
 offer_ranking rankOffers(const std::vector<worker_offer> &offers, const placement_request &request);
 
+// Returns the same from the indexes of the offers that have enough free resources.
+offer_ranking rankOffers(const std::vector<worker_offer> &offers,
+                         const std::vector<std::size_t> &withRoom,
+                         const placement_request &request);
+
 // Takes the best offer out of the ranking and returns its index; -1 when no offer fits. The choice
 // is that of chooseOffer().
 int takeBestOffer(offer_ranking &ranking, const std::vector<worker_offer> &offers,
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -50,36 +50,33 @@
     return std::int64_t(step.resources.milliCores) <= free;
 }
 
+std::int64_t rackCost(const worker_offer &offer, const std::string &dataRack)
+{
+    constexpr std::int64_t otherRackCost = 200'000;
+    return dataRack.empty() || offer.record->hasLabel(dataRack) ? 0 : otherRackCost;
+}
+
 // Returns a score, where higher is better.
 std::int64_t scoreOf(const worker_offer &offer, const placement_request &request)
 {
     const worker_record &record = *offer.record;
     const job_step &step = *request.step;
-    const auto free = std::int64_t(record.capacity.milliCores) - offer.used.milliCores;
-    std::int64_t score = 0;
     if (step.bestEffort) {
         // Keep workers without latency-critical tasks for best-effort tasks with a high pressure.
-        constexpr std::int64_t besideLongRunning = 100'000;
         constexpr double headroomCost = 60'000;
-        score = reclaimableMilliCores(offer)
-                + (offer.latencyCritical.empty() ? 0 : besideLongRunning)
-                - static_cast<std::int64_t>(headroomFraction(*request.interference,
-                                                             offer.latencyCritical, request.image,
-                                                             shareOf(offer, step))
-                                            * headroomCost);
-    } else if (step.longRunning) {
-        constexpr std::int64_t sameDomainCost = 1'000'000;
-        score = imageScore(offer, request.image) - free
-                - countAt(*request.runsPerDomain, record.failureDomain) * sameDomainCost;
-    } else {
-        constexpr std::int64_t besideLongRunning = 100'000;
-        score = free + (offer.longRunningMilliCores > 0 ? besideLongRunning : 0);
+        return mostBestEffortScore(offer, step.dataRack)
+               - static_cast<std::int64_t>(headroomFraction(*request.interference,
+                                                            offer.latencyCritical, request.image,
+                                                            shareOf(offer, step))
+                                           * headroomCost);
     }
-    if (!step.dataRack.empty() && !record.hasLabel(step.dataRack)) {
-        constexpr std::int64_t otherRackCost = 200'000;
-        score -= otherRackCost;
+    if (step.longRunning) {
+        constexpr std::int64_t sameDomainCost = 1'000'000;
+        const auto free = std::int64_t(record.capacity.milliCores) - offer.used.milliCores;
+        return imageScore(offer, request.image) - free - rackCost(offer, step.dataRack)
+               - countAt(*request.runsPerDomain, record.failureDomain) * sameDomainCost;
     }
-    return score;
+    return shortTaskScore(offer, step.dataRack);
 }
 
 } // namespace
@@ -262,6 +259,21 @@
     return choice;
 }
 
+std::int64_t shortTaskScore(const worker_offer &offer, const std::string &dataRack)
+{
+    constexpr std::int64_t besideLongRunning = 100'000;
+    const auto free = std::int64_t(offer.record->capacity.milliCores) - offer.used.milliCores;
+    return free + (offer.longRunningMilliCores > 0 ? besideLongRunning : 0)
+           - rackCost(offer, dataRack);
+}
+
+std::int64_t mostBestEffortScore(const worker_offer &offer, const std::string &dataRack)
+{
+    constexpr std::int64_t besideLongRunning = 100'000;
+    return reclaimableMilliCores(offer) + (offer.latencyCritical.empty() ? 0 : besideLongRunning)
+           - rackCost(offer, dataRack);
+}
+
 std::int64_t reclaimableMilliCores(const worker_offer &offer)
 {
     const std::int64_t shortMilliCores =
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -140,6 +140,14 @@
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request,
                          std::vector<rejected_request> &rejected);
 
+// Returns how well the offer suits a short task whose data is in the rack, if any; higher is
+// better.
+std::int64_t shortTaskScore(const worker_offer &offer, const std::string &dataRack);
+
+// Returns the highest score that the offer can have for a best-effort task whose data is in the
+// rack, if any, whatever the task interferes with.
+std::int64_t mostBestEffortScore(const worker_offer &offer, const std::string &dataRack);
+
 // Returns the cores that best-effort tasks can expect on the worker, in thousandths.
 std::int64_t reclaimableMilliCores(const worker_offer &offer);
 
--- a/Tests/Benchmark/round_benchmark.cxx
+++ b/Tests/Benchmark/round_benchmark.cxx
@@ -1,6 +1,7 @@
 #include <benchmark/benchmark.h>
 
 #include "Common/log.h"
+#include "Scheduling/offer_index.h"
 #include "Unit/fleet_group.h"
 
 namespace {
@@ -110,8 +111,64 @@
     state.counters["starts"] = static_cast<double>(fleet.workers.starts.size());
 }
 
+// Offers of workers with a long-running task each, without a service around them.
+struct plain_fleet
+{
+    plain_fleet(std::size_t count, bool isFull)
+        : records(count)
+        , offers(count)
+    {
+        for (std::size_t at = 0; at < count; ++at) {
+            records[at].incarnation.id = "w" + std::to_string(at);
+            records[at].service = "desk";
+            records[at].capacity = {workerMilliCores, 8000, 0};
+            offers[at].record = &records[at];
+            const auto inUse = static_cast<std::uint32_t>(isFull ? workerMilliCores - 200
+                                                                 : 2500 + at * 37 % 4000);
+            offers[at].used = {inUse, 1000, 0};
+            offers[at].longRunningMilliCores = 2500;
+        }
+    }
+
+    std::vector<mango::worker_record> records;
+    std::vector<mango::worker_offer> offers;
+};
+
+// Measures the choice of a worker for one task that is the only one of its step: from an index, or
+// by a look at all offers. On a full service it finds none.
+void chooseForOneTask(benchmark::State &state)
+{
+    plain_fleet fleet(static_cast<std::size_t>(state.range(0)), state.range(1) != 0);
+    const bool isIndexed = state.range(2) != 0;
+    const std::string service = "desk";
+    const mango::interference_model model;
+    const std::map<mango::worker_incarnation, std::uint32_t> runsPerWorker;
+    const std::map<std::string, std::uint32_t> runsPerDomain;
+    mango::job_step step;
+    step.resources = {250, 100, 0};
+    const mango::placement_request request{
+            &step, &service, &runsPerWorker, &runsPerDomain, nullptr, &model, 1};
+    mango::offer_index index;
+    for (auto task : state) {
+        const mango::offer_choice choice =
+                isIndexed ? mango::chooseIndexed(index, fleet.offers, request)
+                          : mango::chooseOffer(fleet.offers, request);
+        benchmark::DoNotOptimize(choice.index);
+        if (choice.index >= 0) {
+            // A run ends where the task starts, so that the service stays as full as it is.
+            const auto at = static_cast<std::size_t>(choice.index);
+            std::swap(fleet.offers[at].used, fleet.offers[(at * 7 + 1) % fleet.offers.size()].used);
+            mango::noteOfferChange(index, at);
+            mango::noteOfferChange(index, (at * 7 + 1) % fleet.offers.size());
+        }
+    }
+}
+
 } // namespace
 
+BENCHMARK(chooseForOneTask)
+        ->ArgNames({"workers", "full", "indexed"})
+        ->ArgsProduct({{350, 1800, 5000}, {0, 1}, {0, 1}});
 BENCHMARK(playTurnover)->Arg(350)->Arg(1800)->Iterations(5)->Unit(benchmark::kMillisecond);
 BENCHMARK(playRounds)->Arg(90)->Arg(350)->Iterations(5)->Unit(benchmark::kMillisecond);
 
