rounds: Refresh unchanged offers by time, and keep offers when workers come and go

Unchanged offers are now refreshed in slices within about 400 ms, at least 20 a round, so that the cost depends on time and not on the number of rounds. When the list of workers changes, the offers of those listed before are kept.

--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -8,8 +8,23 @@
 
 namespace {
 
-// The number of unchanged workers whose offers each round updates.
-constexpr std::size_t unchangedPerRound = 200;
+// Within about this time the offers of all workers that have not changed are updated, in slices, so
+// that the cost does not grow with the number of rounds. Each round updates at least a few.
+constexpr auto unchangedUpdateInterval = std::chrono::milliseconds(400);
+constexpr std::size_t fewestUnchangedPerRound = 20;
+
+// Returns the number of unchanged workers whose offers the round updates.
+std::size_t countUnchangedDue(const round_offers &round, steady_time now)
+{
+    const std::size_t count = round.offers.size();
+    const auto elapsed = now - round.unchangedUpdatedAt;
+    if (elapsed >= unchangedUpdateInterval) {
+        return count;
+    }
+    const auto due = count * static_cast<std::size_t>(elapsed.count())
+                     / static_cast<std::size_t>(steady_span(unchangedUpdateInterval).count());
+    return std::min(count, std::max(due, fewestUnchangedPerRound));
+}
 
 worker_exclusion exclusionOf(const dispatch_state &state, const tracked_worker &worker,
                              steady_time now)
@@ -92,18 +107,38 @@
     round.capacityMilliCores += added.capacityMilliCores;
 }
 
+// Lists the workers anew. The offers of those that were listed before stay as they are.
 void listWorkers(dispatch_state &state, round_offers &round)
 {
-    round = {};
-    round.workers.reserve(state.workers.size());
+    round_offers earlier = std::exchange(round, {});
+    round.nextUnchanged = earlier.nextUnchanged;
+    round.unchangedUpdatedAt =
+            earlier.workers.empty() ? state.context.clock.now() : earlier.unchangedUpdatedAt;
+    round.usedMilliCores = earlier.usedMilliCores;
+    round.capacityMilliCores = earlier.capacityMilliCores;
+    const std::size_t count = state.workers.size();
+    round.workers.reserve(count);
+    round.offers.resize(count);
+    round.contributions.resize(count);
     for (const auto &[incarnation, worker] : state.workers) {
-        worker->offerIndex = round.workers.size();
+        const std::size_t before = std::exchange(worker->offerIndex, round.workers.size());
+        const std::size_t at = worker->offerIndex;
         round.workers.push_back(worker);
+        if (before < earlier.workers.size() && earlier.workers[before] == worker) {
+            round.offers[at] = std::move(earlier.offers[before]);
+            round.contributions[at] = earlier.contributions[before];
+            earlier.workers[before].reset();
+        } else {
+            markOfferChanged(state, worker);
+        }
+        ++round.workersByExclusion[static_cast<std::size_t>(round.contributions[at].exclusion)];
+    }
+    for (std::size_t gone = 0; gone < earlier.workers.size(); ++gone) {
+        if (earlier.workers[gone] != nullptr) {
+            round.usedMilliCores -= earlier.contributions[gone].usedMilliCores;
+            round.capacityMilliCores -= earlier.contributions[gone].capacityMilliCores;
+        }
     }
-    round.offers.resize(round.workers.size());
-    round.contributions.resize(round.workers.size());
-    round.workersByExclusion[static_cast<std::size_t>(worker_exclusion::none)] =
-            static_cast<std::uint32_t>(round.workers.size());
 }
 
 } // namespace
@@ -112,24 +147,22 @@
 {
     const steady_time now = state.context.clock.now();
     round_work &work = state.roundSummary.work;
-    if (std::exchange(state.workersListed, true)) {
-        for (const tracked_worker_handle &worker : state.changedWorkers) {
-            // A worker that was removed may still be reported as changed.
-            if (worker->offerIndex < round.workers.size()
-                && round.workers[worker->offerIndex] == worker) {
-                updateOffer(state, round, worker->offerIndex, now, true);
-                ++work.offersUpdated;
-            }
-        }
-    } else {
+    if (!std::exchange(state.workersListed, true)) {
         listWorkers(state, round);
-        state.allOffersChanged = true;
+    }
+    for (const tracked_worker_handle &worker : state.changedWorkers) {
+        // A worker that was removed may still be reported as changed.
+        if (worker->offerIndex < round.workers.size()
+            && round.workers[worker->offerIndex] == worker) {
+            updateOffer(state, round, worker->offerIndex, now, true);
+            ++work.offersUpdated;
+        }
     }
     state.changedWorkers.clear();
     const std::size_t count = round.offers.size();
-    const std::size_t updated = std::exchange(state.allOffersChanged, false)
-                                        ? count
-                                        : std::min(count, unchangedPerRound);
+    const std::size_t due = countUnchangedDue(round, now);
+    const std::size_t updated = std::exchange(state.allOffersChanged, false) ? count : due;
+    round.unchangedUpdatedAt = now;
     work.offersUpdated += updated;
     for (std::size_t number = 0; number < updated; ++number) {
         round.nextUnchanged = round.nextUnchanged + 1 < count ? round.nextUnchanged + 1 : 0;
--- a/Source/Dispatch/worker_offers.h
+++ b/Source/Dispatch/worker_offers.h
@@ -48,6 +48,7 @@
     std::uint64_t capacityMilliCores = 0;
     // The offer with which the next round begins to update those whose workers have not changed.
     std::size_t nextUnchanged = 0;
+    steady_time unchangedUpdatedAt{};
     // Follows the changes of the offers from round to round.
     offer_index index;
 
