--- a/Source/Scheduling/worker_soundness.cxx
+++ b/Source/Scheduling/worker_soundness.cxx
@@ -12,7 +12,7 @@
 // up to 90%.
 constexpr int slowPercent = 250;
 constexpr int normalPercent = 170;
-// Scores of sound workers that fit equally well differ by less; see scoreOf().
+// Scores of sound workers that fit equally well differ by less; see soundScoreOf().
 constexpr std::int64_t singleFailureCost = 160'000;
 // Higher than the cost of another rack.
 constexpr std::int64_t unsoundCost = 400'000;
