wire: Count reads and writes of sockets, and log them for the leader

Each read and write costs a call of the system and a turn of the loop, beside what the frames cost. They are now metrics, and the line leader-work gives them with the frames of the second. A call on an open connection starts no coroutine to connect any more. The test of frames per turn also checks that few reads and writes carry all frames.

--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -44,6 +44,14 @@
     return response;
 }
 
+link_totals linkTotalsOf(metrics_registry &metrics)
+{
+    return {metrics.at("mango_link_frames_total{direction=\"in\"}"),
+            metrics.at("mango_link_reads_total"),
+            metrics.at("mango_link_frames_total{direction=\"out\"}"),
+            metrics.at("mango_link_writes_total")};
+}
+
 std::int64_t toMilliseconds(steady_span span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -203,6 +211,7 @@
     m_work.exportTotals();
     const work_totals totals = m_work.totals();
     const steady_span processor = m_context.clock.processorTime();
+    const link_totals links = linkTotalsOf(m_context.metricsRegistry);
     if (m_leadership) {
         const auto counted = [&](work_kind kind) {
             const auto index = static_cast<std::size_t>(kind);
@@ -220,11 +229,16 @@
                   {"appends", counted(work_kind::appends)},
                   {"applies", counted(work_kind::applies)},
                   {"served", counted(work_kind::served)},
-                  {"snapshots", counted(work_kind::snapshots)}});
+                  {"snapshots", counted(work_kind::snapshots)},
+                  {"frames_in", links.framesIn - m_reportedLinks.framesIn},
+                  {"reads", links.reads - m_reportedLinks.reads},
+                  {"frames_out", links.framesOut - m_reportedLinks.framesOut},
+                  {"writes", links.writes - m_reportedLinks.writes}});
     }
     m_workReportedAt = now;
     m_reportedWork = totals;
     m_reportedProcessorTime = processor;
+    m_reportedLinks = links;
 }
 
 // Logs when a leader loses or regains the lease that lets it answer.
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -43,6 +43,15 @@
 // Reads and checks the settings file of a control process.
 result<fleet_settings, settings_failure> loadFleetSettings(const std::string &path);
 
+// The traffic between control processes and entries.
+struct link_totals
+{
+    std::uint64_t framesIn = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t framesOut = 0;
+    std::uint64_t writes = 0;
+};
+
 // One control process of the fleet: its replica, and the dispatch state while it leads.
 class fleet_server
 {
@@ -127,6 +136,7 @@
     // As of the last report.
     work_totals m_reportedWork;
     steady_span m_reportedProcessorTime{0};
+    link_totals m_reportedLinks;
     steady_time m_workReportedAt{};
     bool m_leaseHeld = false;
     steady_time m_leaseChangedAt{};
--- a/Source/Wire/rpc.cxx
+++ b/Source/Wire/rpc.cxx
@@ -57,12 +57,15 @@
 {
     const auto keepAlive = shared_from_this();
     const steady_time deadline = m_clock.now() + timeout;
-    const auto ready = co_await ensureConnected(timeout);
-    if (failed(ready)) {
-        co_return failureOf(ready);
-    }
-    if (m_clock.now() >= deadline) {
-        co_return network_failure{network_failure::kind::connectFailed, m_peer, "connected late"};
+    if (!m_connection) {
+        const auto ready = co_await ensureConnected(timeout);
+        if (failed(ready)) {
+            co_return failureOf(ready);
+        }
+        if (m_clock.now() >= deadline) {
+            co_return network_failure{network_failure::kind::connectFailed, m_peer,
+                                      "connected late"};
+        }
     }
     pending_call pending{m_clock.makeTimer(), {}};
     const std::uint64_t correlation = m_nextCorrelation++;
--- a/Source/Wire/tcp_network.cxx
+++ b/Source/Wire/tcp_network.cxx
@@ -53,6 +53,9 @@
     std::uint64_t &framesOut;
     std::uint64_t &framesIn;
     std::uint64_t &framesRefused;
+    // Reads and writes of sockets, each of which delivers one or more frames.
+    std::uint64_t &reads;
+    std::uint64_t &writes;
 };
 
 tcp::socket &socketOf(tcp::socket &stream)
@@ -109,6 +112,7 @@
                     asio::buffer(m_received.data() + kept, m_received.size() - kept),
                     asio::redirect_error(asio::use_awaitable, error));
             m_received.resize(kept + count);
+            ++m_counters.reads;
             if (error) {
                 co_return network_failure{network_failure::kind::closed, m_peer, error.message()};
             }
@@ -215,6 +219,7 @@
             for (const std::string &bytes : batch) {
                 buffers.push_back(asio::buffer(bytes));
             }
+            ++m_counters.writes;
             co_await asio::async_write(m_stream, buffers,
                                        asio::redirect_error(asio::use_awaitable, error));
             for (const std::string &bytes : batch) {
@@ -271,7 +276,9 @@
                      metricsRegistry.at("mango_link_bytes_total{direction=\"in\"}"),
                      metricsRegistry.at("mango_link_frames_total{direction=\"out\"}"),
                      metricsRegistry.at("mango_link_frames_total{direction=\"in\"}"),
-                     metricsRegistry.at("mango_link_frames_refused_total")}
+                     metricsRegistry.at("mango_link_frames_refused_total"),
+                     metricsRegistry.at("mango_link_reads_total"),
+                     metricsRegistry.at("mango_link_writes_total")}
         , m_cluster(clusterChecksum(options.clusterName))
     {
         if (options.security.enabled()) {
--- a/Tests/Benchmark/leader_benchmark.cxx
+++ b/Tests/Benchmark/leader_benchmark.cxx
@@ -70,7 +70,8 @@
         m_received.pop_front();
         const auto header =
                 decodeHeader(std::string_view(bytes).substr(0, frameHeaderBytes), m_cluster);
-        co_return std::move(valueOf(joinFrame(valueOf(header), bytes.substr(frameHeaderBytes))));
+        auto joined = joinFrame(valueOf(header), bytes.substr(frameHeaderBytes));
+        co_return std::move(valueOf(joined));
     }
     void send(frame message) override
     {
--- a/Tests/Unit/wire_test.cxx
+++ b/Tests/Unit/wire_test.cxx
@@ -322,6 +322,11 @@
     });
     EXPECT_EQ(seen->frames, queuedFrames);
     EXPECT_LT(seen->turns, queuedFrames / 5);
+    EXPECT_EQ(metricsRegistry.at("mango_link_frames_total{direction=\"in\"}"), queuedFrames);
+    EXPECT_GT(metricsRegistry.at("mango_link_reads_total"), 0U);
+    EXPECT_LT(metricsRegistry.at("mango_link_reads_total"), queuedFrames / 5);
+    EXPECT_GT(metricsRegistry.at("mango_link_writes_total"), 0U);
+    EXPECT_LT(metricsRegistry.at("mango_link_writes_total"), queuedFrames / 5);
 }
 
 } // namespace mango::test
