dispatch: Offer no released room of a worker that has refused it

A refused start within the limit shows that the worker has less than its runs use. It is offered with nothing then until the next probe or until it announces its capacity, and best-effort runs, which use what others leave, get nothing of a worker while it is limited. refusedRoomIsOfferedAgainAsRunsEnd guards it.

--- a/Source/Dispatch/room_refusals.cxx
+++ b/Source/Dispatch/room_refusals.cxx
@@ -89,6 +89,11 @@
               });
 }
 
+bool isLimited(const tracked_worker &worker, steady_time now)
+{
+    return worker.observed.limit && now < worker.observed.probeAt;
+}
+
 resource_amounts usedInOffer(const tracked_worker &worker, steady_time now)
 {
     const resource_amounts &announced = worker.record.capacity;
--- a/Source/Dispatch/room_refusals.h
+++ b/Source/Dispatch/room_refusals.h
@@ -21,6 +21,9 @@
 // next one.
 bool awaitsStartAnswer(const tracked_worker &worker);
 
+// Returns true while the worker is offered with less than it announces.
+bool isLimited(const tracked_worker &worker, steady_time now);
+
 // Returns the resources that count as used in the worker's offer: those of its runs, and what it
 // announces beyond its observed capacity.
 resource_amounts usedInOffer(const tracked_worker &worker, steady_time now);
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -52,7 +52,9 @@
     offer.used = usedInOffer(worker, now);
     offer.longRunningMilliCores = worker.longRunningMilliCores;
     offer.longRunningImages = worker.longRunningImages;
-    offer.bestEffortMilliCores = worker.bestEffortMilliCores;
+    // Cores that may not be there are not left unused by others either.
+    offer.bestEffortMilliCores = worker.bestEffortMilliCores
+                                 + (isLimited(worker, now) ? worker.record.capacity.milliCores : 0);
     offer.latencyCritical = std::move(tasks.latencyCritical);
     offer.inBackoff = now < worker.backoffUntil;
     return offer;
--- a/Source/Scheduling/observed_capacity.cxx
+++ b/Source/Scheduling/observed_capacity.cxx
@@ -11,6 +11,12 @@
 // The announced capacity is believed again after this time without a refusal.
 constexpr auto limitLifetime = std::chrono::seconds(15);
 
+resource_amounts lesserOf(const resource_amounts &one, const resource_amounts &other)
+{
+    return {std::min(one.milliCores, other.milliCores), std::min(one.memoryMb, other.memoryMb),
+            std::min(one.accelerators, other.accelerators)};
+}
+
 } // namespace
 
 bool recordRefusedStart(observed_capacity &observed, const refused_start &refused, steady_time now,
@@ -19,8 +25,15 @@
     if (refused.sentAt <= observed.announcedAt) {
         return false;
     }
-    observed.limit = refused.inUse;
-    if (observed.refusals == 0 || refused.sentAt > observed.refusedAt) {
+    const bool sentTogether = observed.refusals > 0 && refused.sentAt <= observed.refusedAt;
+    if (observed.limit && sentTogether) {
+        observed.limit = lesserOf(*observed.limit, refused.inUse);
+    } else if (observed.limit && refused.sentAt < observed.probeAt) {
+        observed.limit = resource_amounts{};
+    } else {
+        observed.limit = refused.inUse;
+    }
+    if (!sentTogether) {
         const std::uint32_t doublings = std::min(observed.refusals, mostPauseDoublings);
         observed.probeAt = now + pause * (1U << doublings);
         ++observed.refusals;
@@ -64,9 +77,7 @@
     if (!observed.limit || now >= observed.probeAt) {
         return announced;
     }
-    return {std::min(announced.milliCores, observed.limit->milliCores),
-            std::min(announced.memoryMb, observed.limit->memoryMb),
-            std::min(announced.accelerators, observed.limit->accelerators)};
+    return lesserOf(announced, *observed.limit);
 }
 
 } // namespace mango
--- a/Source/Scheduling/observed_capacity.h
+++ b/Source/Scheduling/observed_capacity.h
@@ -35,7 +35,8 @@
     resource_amounts inUse;
 };
 
-// Limits the capacity to what is in use. Returns false for a start that was sent before the
+// Limits the capacity to what is in use; to nothing when the start was within the limit, as the
+// worker then has less than its runs use. Returns false for a start that was sent before the
 // announced capacity changed, which explains the refusal. The pause before the next probe doubles
 // with each refusal in a row, beginning with `pause`.
 bool recordRefusedStart(observed_capacity &observed, const refused_start &refused, steady_time now,
--- a/Tests/Unit/shrunk_worker_test.cxx
+++ b/Tests/Unit/shrunk_worker_test.cxx
@@ -163,6 +163,21 @@
     EXPECT_EQ(observed.probeAt, at(milliseconds(4605)));
 }
 
+// Guards against a worker that has less than its runs use being offered what they release.
+TEST(observed_capacity, refusedRoomIsOfferedAgainAsRunsEnd)
+{
+    observed_capacity observed;
+    const resource_amounts announced{16'000, 64'000, 2};
+    recordRefusedStart(observed, {at(milliseconds(0)), {14'000, 8'000, 0}}, at(milliseconds(5)),
+                       probePause);
+    recordRefusedStart(observed, {at(milliseconds(100)), {13'000, 8'000, 0}}, at(milliseconds(105)),
+                       probePause);
+    EXPECT_EQ(offeredCapacity(observed, announced, at(milliseconds(200))), resource_amounts{});
+    recordRefusedStart(observed, {at(milliseconds(100)), {12'000, 8'000, 0}}, at(milliseconds(106)),
+                       probePause);
+    EXPECT_EQ(offeredCapacity(observed, announced, at(milliseconds(200))), resource_amounts{});
+}
+
 TEST(observed_capacity, pausesGrowWithoutBound)
 {
     observed_capacity observed;
