--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -5,8 +5,11 @@
 #include <unordered_map>
 
 #include "Common/wake_event.h"
+#include "Common/work_meter.h"
+#include "Dispatch/round_work.h"
 #include "Dispatch/worker_lease.h"
 #include "Fleet/fleet_state_machine.h"
+#include "Jobs/job_account.h"
 #include "Scheduling/crash_suspects.h"
 #include "Scheduling/image_interference.h"
 #include "Scheduling/observed_capacity.h"
@@ -14,6 +17,7 @@
 #include "Scheduling/run_progress.h"
 #include "Scheduling/run_times.h"
 #include "Scheduling/step_order.h"
+#include "Scheduling/worker_soundness.h"
 
 namespace mango {
 
@@ -49,6 +53,7 @@
     fleet_state_machine &machine;
     worker_client &workers;
     dispatch_timing timing;
+    work_meter &work;
 };
 
 // The leader's view of a run, which is more detailed than the replicated state.
@@ -107,6 +112,9 @@
     steady_time startSentAt{};
     // The share of the work that is done.
     std::uint32_t progressPercent = 0;
+    // The pace is measured from this percentage and time on.
+    std::uint32_t paceFromPercent = 0;
+    std::optional<steady_time> paceFrom;
     // When `progressPercent` last changed, and when the worker last reported it.
     steady_time progressedAt{};
     steady_time reportedAt{};
@@ -157,16 +165,16 @@
     // The latest lease end that any leader may have granted, on the worker's clock.
     worker_time leasedUntil{0};
     steady_time heardAt{};
-    // Backoff after failed or stalled runs: it gets only tasks of starved steps until then.
+    // When the backoff after failed or stalled runs began.
     steady_time backoffStartedAt{};
-    steady_time backoffUntil{};
+    // What its runs have shown; `hasProbe` is not maintained here.
+    worker_soundness soundness;
     // It gets no new work until then, since it refused a request or could not be reached.
     steady_time refusesUntil{};
     // What it can take as far as its answers to start requests tell.
     observed_capacity observed;
     // The highest sequence number of its announcements.
     std::uint64_t lastSequence = 0;
-    worker_failure_streak failureStreak;
     steady_time stalledAt{};
     std::map<run_key, tracked_run> runs;
     std::uint32_t runsOnTrial = 0;
@@ -249,6 +257,12 @@
     steady_time estimatedAt{};
     // The steps of each occurrence.
     std::map<std::uint32_t, std::vector<tracked_step>> occurrences;
+    // When the start of its first run under this leader was committed.
+    std::optional<steady_time> firstRunAt;
+    std::uint32_t startedRuns = 0;
+    std::array<std::uint32_t, runOutcomeCount> endedRuns{};
+    // Where its time went; empty for a job with a schedule.
+    std::vector<step_account> accounts;
 };
 
 // An end of a run that may be acknowledged to its worker once it is committed.
@@ -267,6 +281,7 @@
     steady_span total{0};
     // The most tasks for which a round held room.
     std::uint32_t mostHeld = 0;
+    round_work work;
 };
 
 // The leader's state in memory. Each leadership builds it anew from the replicated state and from
@@ -396,6 +411,12 @@
 boost::asio::awaitable<void> resolveUnansweredStart(dispatch_handle state,
                                                     tracked_worker_handle worker, run_key key);
 
+// Returns what the runs of a worker have shown of it.
+worker_soundness soundnessOf(const tracked_worker &worker);
+
+// Updates what is known of the speed of a worker from the progress that it has just reported.
+void recordPace(dispatch_state &state, const tracked_worker_handle &worker);
+
 // Updates the failure streak of a worker after one of its runs was done, failed or stalled; may
 // begin a backoff.
 void recordRunHealth(dispatch_state &state, const tracked_worker_handle &worker,
--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -24,11 +24,12 @@
 
 // Returns the runs that may have to be copied or moved, in the order of their keys. Most runs are
 // told apart without a look at their jobs.
-std::vector<std::pair<run_key, tracked_worker_handle>> findSuspects(const dispatch_state &state,
+std::vector<std::pair<run_key, tracked_worker_handle>> findSuspects(dispatch_state &state,
                                                                     steady_time now)
 {
     std::vector<std::pair<run_key, tracked_worker_handle>> suspects;
     for (const auto &[incarnation, worker] : state.workers) {
+        state.roundSummary.work.runsChecked += worker->runs.size();
         for (const auto &[key, run] : worker->runs) {
             if (isActive(run) && !isCertainlyKept(progressOf(*worker, run, run.estimate, now))) {
                 suspects.emplace_back(key, worker);
@@ -62,7 +63,9 @@
     // Time in which the worker has reported nothing tells nothing about the progress.
     progress.stalledFor = std::chrono::duration_cast<std::chrono::milliseconds>(run.reportedAt
                                                                                 - run.progressedAt);
+    progress.sinceReport = since(run.reportedAt);
     progress.progressPercent = run.progressPercent;
+    progress.workerIsSlow = worker.soundness.slowAt.has_value();
     progress.estimate = expected;
     progress.workerSilentFor = since(worker.heardAt);
     progress.unconfirmed = run.phase == run_phase::unconfirmed;
@@ -85,6 +88,7 @@
     const auto &jobs = state->context.machine.state().jobs;
     for (const auto &[key, worker] : findSuspects(*state, now)) {
         state->lastSuspect = key;
+        ++state->roundSummary.work.suspects;
         tracked_run &run = worker->runs.at(key);
         const auto job = jobs.find(key.task.job);
         const auto tracked = state->jobs.find(key.task.job);
@@ -108,12 +112,14 @@
             logEvent(log_part::scheduler, "run-moved",
                      {{"run", toText(key)},
                       {"worker", worker->record.incarnation.id},
-                      {"why", "stands-still"},
+                      {"why", progress.workerIsSlow ? "slow-worker" : "stands-still"},
                       {"percent", run.progressPercent},
                       {"age_ms", progress.age.count()},
                       {"standing_ms", progress.stalledFor.count()},
                       {"expected_ms", expected.count()}});
-            recordRunHealth(*state, worker, run, run_outcome::stopped, true);
+            if (!progress.workerIsSlow) {
+                recordRunHealth(*state, worker, run, run_outcome::stopped, true);
+            }
             requestStop(state, worker, run);
             continue;
         }
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -53,7 +53,9 @@
             avoidedWorkers == ready.tracked->avoidedWorkers.end() ? nullptr
                                                                   : &avoidedWorkers->second,
             &state.interference,
-            imageId(state.interference, step.image)};
+            imageId(state.interference, step.image),
+            false,
+            ready.urgency.priority == 0};
 }
 
 // True when the run ends by itself some time, or is about to be stopped.
@@ -71,6 +73,7 @@
         return *round.releases[at];
     }
     std::vector<expected_release> &releases = round.releases[at].emplace();
+    ++state.roundSummary.work.releasesListed;
     const steady_time now = state.context.clock.now();
     const auto &jobs = state.context.machine.state().jobs;
     const tracked_worker &worker = *round.workers[at];
@@ -97,27 +100,73 @@
     return releases;
 }
 
+// Chooses the offer on which a task is expected to fit soonest.
+int chooseToHold(dispatch_state &state, round_offers &round,
+                 const std::vector<worker_offer> &offers, const placement_request &request)
+{
+    round_work &work = state.roundSummary.work;
+    const round_part earlier = enterPart(work, round_part::hold, state.context.clock.now());
+    ++work.scansToHold;
+    const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
+        return releasesOf(state, round, at);
+    };
+    const int chosen = chooseOfferToHold(offers, releases, request);
+    enterPart(work, earlier, state.context.clock.now());
+    return chosen;
+}
+
+// Counts a look at all offers for one task.
+void countScan(round_work &work, const round_offers &round)
+{
+    ++work.scansForTask;
+    work.offersScored += round.offers.size();
+}
+
+// Chooses for one task from all offers.
+offer_choice chooseFromAll(dispatch_state &state, round_offers &round,
+                           const placement_request &request)
+{
+    if (isRejected(round.rejected, request)) {
+        return {};
+    }
+    ++state.roundSummary.work.scansForTask;
+    const std::uint64_t scoredBefore = round.index.offersScored;
+    const offer_choice choice = chooseIndexed(round.index, round.offers, request);
+    state.roundSummary.work.offersScored += round.index.offersScored - scoredBefore;
+    if (choice.index < 0 && choice.excludedByRuns == 0) {
+        round.rejected.push_back({request.step, request.service, request.image, request.starved});
+    }
+    return choice;
+}
+
 // Keeps the resources of a task from all that is placed later in the round, on the worker where
-// they are expected to be free soonest; false when there is none. Each round chooses anew. Counts
-// the task in `runsPerWorker`.
+// they are expected to be free soonest; false when there is none. The choice lasts for some rounds.
+// Counts the task in `runsPerWorker`.
 bool holdRoom(const dispatch_handle &state, round_offers &round, const ready_step &ready,
               std::uint32_t index, std::map<worker_incarnation, std::uint32_t> &runsPerWorker)
 {
     placement_request request = makeRequest(*state, ready, index);
     request.runsPerWorker = &runsPerWorker;
-    const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
-        return releasesOf(*state, round, at);
-    };
-    int chosen = chooseOfferToHold(round.offers, releases, request);
-    if (chosen < 0 && request.avoidedWorkers != nullptr) {
-        request.avoidedWorkers = nullptr;
-        chosen = chooseOfferToHold(round.offers, releases, request);
-    }
-    if (chosen < 0) {
-        return false;
+    const task_key task{ready.job, ready.occurrence, ready.step, index};
+    const auto earlier = round.heldRooms.find(task);
+    int chosen = -1;
+    if (earlier != round.heldRooms.end()
+        && mayBeHeld(round.offers[earlier->second.offer], request)) {
+        chosen = static_cast<int>(earlier->second.offer);
+    } else {
+        chosen = chooseToHold(*state, round, round.offers, request);
+        if (chosen < 0 && request.avoidedWorkers != nullptr) {
+            request.avoidedWorkers = nullptr;
+            chosen = chooseToHold(*state, round, round.offers, request);
+        }
+        if (chosen < 0) {
+            return false;
+        }
+        round.heldRooms[task] = {static_cast<std::size_t>(chosen), state->context.clock.now()};
     }
     worker_offer &offer = round.offers[static_cast<std::size_t>(chosen)];
     reserveResources(offer, request);
+    noteOfferChange(round.index, static_cast<std::size_t>(chosen));
     markOfferChanged(*state, round.workers[static_cast<std::size_t>(chosen)]);
     ++runsPerWorker[offer.record->incarnation];
     ++round.held;
@@ -125,14 +174,17 @@
 }
 
 // Chooses as chooseOffer() does, from the ranking for the tasks of one step.
-offer_choice chooseRanked(round_offers &round, const placement_request &request,
+offer_choice chooseRanked(round_work &work, round_offers &round, const placement_request &request,
                           std::optional<offer_ranking> &ranking)
 {
     if (isRejected(round.rejected, request)) {
         return {};
     }
     if (!ranking) {
-        ranking = rankOffers(round.offers, request);
+        const auto withRoom = offersWithRoom(round.index, round.offers, request);
+        ranking = rankOffers(round.offers, withRoom, request);
+        ++work.rankings;
+        work.offersScored += withRoom.size();
     }
     offer_choice choice;
     choice.candidates = static_cast<std::uint32_t>(ranking->entries.size());
@@ -144,6 +196,14 @@
     return choice;
 }
 
+// True when a ranking for all tasks of a step costs less than a choice from the index for each.
+bool wantsRanking(const job_step &step, std::size_t waitingTasks)
+{
+    constexpr std::size_t manyTasks = 16;
+    return step.longRunning
+           || (waitingTasks > manyTasks && (step.bestEffort || step.perWorkerLimit > 0));
+}
+
 // True when room is held for a gang that does not fit: for a restart at once, else after a while.
 bool deservesHeldRoom(const dispatch_state &state, const ready_step &ready)
 {
@@ -169,21 +229,19 @@
                        std::size_t members, bool mayHold, const begin_runs &started)
 {
     gang_trial trial{round.offers};
-    const release_source releases = [&](std::size_t at) -> const std::vector<expected_release> & {
-        return releasesOf(*state, round, at);
-    };
     std::map<worker_incarnation, std::uint32_t> runsPerWorker;
     placement_request request = makeRequest(*state, ready, 0);
     request.runsPerWorker = &runsPerWorker;
     request.avoidedWorkers = nullptr;
     for (std::size_t member = 0; member < members; ++member) {
         offer_choice chosen = chooseOffer(trial.offers, request);
+        countScan(state->roundSummary.work, round);
         if (chosen.index < 0) {
             if (trial.fits) {
                 recordUnplaced(*state, round, trial.offers, ready, request, started.runs.size());
             }
             trial.fits = false;
-            chosen.index = mayHold ? chooseOfferToHold(trial.offers, releases, request) : -1;
+            chosen.index = mayHold ? chooseToHold(*state, round, trial.offers, request) : -1;
         }
         if (chosen.index < 0) {
             trial.complete = false;
@@ -233,6 +291,7 @@
         beginWait(*state, ready);
         if (mayHold && trial.complete) {
             round.offers = std::move(trial.offers);
+            noteAllOffersChanged(round.index);
             state->allOffersChanged = true;
             round.held += static_cast<std::uint32_t>(tasks.size());
         }
@@ -282,6 +341,7 @@
     reason.heardAt = worker->heardAt;
     reason.earlierCrashes = findTask(*ready.committedJob, key.task)->crashRecord.crashes;
     reserveResources(offer, request);
+    noteOfferChange(round.index, chosen);
     ready.tracked->trialWaitSince.erase(key.task.index);
     ready.tracked->explanationWaitSince.erase(key.task.index);
     tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
@@ -301,6 +361,11 @@
     const trial_source candidates = [&](std::size_t at) {
         return trialCandidateOf(*state, *round.workers[at]);
     };
+    // On a full service it is quick to tell that no worker has room.
+    if (offersWithRoom(round.index, round.offers, request).empty()) {
+        return false;
+    }
+    ++state->roundSummary.work.scansForTrial;
     const int chosen = chooseTrialOffer(round.offers, candidates, request, company);
     if (chosen < 0) {
         return false;
@@ -310,6 +375,7 @@
     tracked_run &added = addPlacedRun(state, round, ready, request, key, {"trial"}, at, started);
     beginTrial(*state, round.workers[at], added);
     round.offers[at].unavailable = true;
+    noteOfferChange(round.index, at);
     return true;
 }
 
@@ -318,19 +384,20 @@
                begin_runs &started)
 {
     placement_request request = makeRequest(*state, ready, index);
-    offer_choice chosen = request.avoidedWorkers == nullptr
-                                  ? chooseRanked(round, request, ranking)
-                                  : chooseOffer(round.offers, request, round.rejected);
+    const bool isRanked = ranking || wantsRanking(*request.step, ready.tracked->waiting.size());
+    offer_choice chosen = request.avoidedWorkers == nullptr && isRanked
+                                  ? chooseRanked(state->roundSummary.work, round, request, ranking)
+                                  : chooseFromAll(*state, round, request);
     const char *reason = "fits";
     if (chosen.index < 0 && isStarved(round, ready, state->context.clock.now())) {
         request.starved = true;
         reason = "starved";
-        chosen = chooseOffer(round.offers, request, round.rejected);
+        chosen = chooseFromAll(*state, round, request);
     }
     if (chosen.index < 0 && request.avoidedWorkers != nullptr) {
         request.avoidedWorkers = nullptr;
         reason = "tried-before";
-        chosen = chooseOffer(round.offers, request, round.rejected);
+        chosen = chooseFromAll(*state, round, request);
     }
     if (chosen.index < 0) {
         recordUnplaced(*state, round, round.offers, ready, request, started.runs.size());
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -9,8 +9,26 @@
 
 namespace {
 
-// The number of unchanged workers whose offers each round updates.
-constexpr std::size_t unchangedPerRound = 200;
+// Within about this time the offers of all workers that have not changed are updated, in slices, so
+// that the cost does not grow with the number of rounds. Each round updates at least a few.
+constexpr auto unchangedUpdateInterval = std::chrono::milliseconds(400);
+constexpr std::size_t fewestUnchangedPerRound = 20;
+
+// For so long room is held for a task on the same worker; then it is chosen anew.
+constexpr auto heldRoomLifetime = std::chrono::milliseconds(200);
+
+// Returns the number of unchanged workers whose offers the round updates.
+std::size_t countUnchangedDue(const round_offers &round, steady_time now)
+{
+    const std::size_t count = round.offers.size();
+    const auto elapsed = now - round.unchangedUpdatedAt;
+    if (elapsed >= unchangedUpdateInterval) {
+        return count;
+    }
+    const auto due = count * static_cast<std::size_t>(elapsed.count())
+                     / static_cast<std::size_t>(steady_span(unchangedUpdateInterval).count());
+    return std::min(count, std::max(due, fewestUnchangedPerRound));
+}
 
 worker_exclusion exclusionOf(const dispatch_state &state, const tracked_worker &worker,
                              steady_time now)
@@ -56,11 +74,28 @@
     offer.bestEffortMilliCores = worker.bestEffortMilliCores
                                  + (isLimited(worker, now) ? worker.record.capacity.milliCores : 0);
     offer.latencyCritical = std::move(tasks.latencyCritical);
-    offer.inBackoff = now < worker.backoffUntil;
+    const worker_doubt doubt = doubtOf(soundnessOf(worker), now);
+    offer.inBackoff = doubt.rests;
+    offer.oneAtATime = doubt.oneAtATime;
+    offer.urgentCost = doubt.urgentCost;
+    offer.otherCost = doubt.otherCost;
+    offer.retryCost = doubt.retryCost;
     return offer;
 }
 
-void updateOffer(const dispatch_state &state, round_offers &round, std::size_t at, steady_time now)
+// Returns true when the offers of a worker, whose record has not changed, differ in their
+// resources.
+bool differInRoom(const worker_offer &one, const worker_offer &other)
+{
+    return other.record == nullptr || one.unavailable != other.unavailable
+           || one.inBackoff != other.inBackoff || !(one.used == other.used)
+           || one.longRunningMilliCores != other.longRunningMilliCores
+           || (!one.unavailable && reclaimableMilliCores(one) != reclaimableMilliCores(other));
+}
+
+// Makes the offer of a worker anew. `isForced` is set when the record of the worker may differ.
+void updateOffer(const dispatch_state &state, round_offers &round, std::size_t at, steady_time now,
+                 bool isForced)
 {
     tracked_worker &worker = *round.workers[at];
     worker.offerChanged = false;
@@ -69,7 +104,11 @@
     round.usedMilliCores -= added.usedMilliCores;
     round.capacityMilliCores -= added.capacityMilliCores;
     added = {exclusionOf(state, worker, now)};
-    round.offers[at] = makeOffer(state, worker, added.exclusion, now);
+    worker_offer offer = makeOffer(state, worker, added.exclusion, now);
+    if (isForced || differInRoom(offer, round.offers[at])) {
+        noteOfferChange(round.index, at);
+    }
+    round.offers[at] = std::move(offer);
     if (added.exclusion == worker_exclusion::none) {
         added.usedMilliCores = worker.used.milliCores;
         added.capacityMilliCores = worker.record.capacity.milliCores;
@@ -79,18 +118,38 @@
     round.capacityMilliCores += added.capacityMilliCores;
 }
 
+// Lists the workers anew. The offers of those that were listed before stay as they are.
 void listWorkers(dispatch_state &state, round_offers &round)
 {
-    round = {};
-    round.workers.reserve(state.workers.size());
+    round_offers earlier = std::exchange(round, {});
+    round.nextUnchanged = earlier.nextUnchanged;
+    round.unchangedUpdatedAt =
+            earlier.workers.empty() ? state.context.clock.now() : earlier.unchangedUpdatedAt;
+    round.usedMilliCores = earlier.usedMilliCores;
+    round.capacityMilliCores = earlier.capacityMilliCores;
+    const std::size_t count = state.workers.size();
+    round.workers.reserve(count);
+    round.offers.resize(count);
+    round.contributions.resize(count);
     for (const auto &[incarnation, worker] : state.workers) {
-        worker->offerIndex = round.workers.size();
+        const std::size_t before = std::exchange(worker->offerIndex, round.workers.size());
+        const std::size_t at = worker->offerIndex;
         round.workers.push_back(worker);
+        if (before < earlier.workers.size() && earlier.workers[before] == worker) {
+            round.offers[at] = std::move(earlier.offers[before]);
+            round.contributions[at] = earlier.contributions[before];
+            earlier.workers[before].reset();
+        } else {
+            markOfferChanged(state, worker);
+        }
+        ++round.workersByExclusion[static_cast<std::size_t>(round.contributions[at].exclusion)];
+    }
+    for (std::size_t gone = 0; gone < earlier.workers.size(); ++gone) {
+        if (earlier.workers[gone] != nullptr) {
+            round.usedMilliCores -= earlier.contributions[gone].usedMilliCores;
+            round.capacityMilliCores -= earlier.contributions[gone].capacityMilliCores;
+        }
     }
-    round.offers.resize(round.workers.size());
-    round.contributions.resize(round.workers.size());
-    round.workersByExclusion[static_cast<std::size_t>(worker_exclusion::none)] =
-            static_cast<std::uint32_t>(round.workers.size());
 }
 
 } // namespace
@@ -98,30 +157,34 @@
 void updateOffers(dispatch_state &state, round_offers &round)
 {
     const steady_time now = state.context.clock.now();
-    if (std::exchange(state.workersListed, true)) {
-        for (const tracked_worker_handle &worker : state.changedWorkers) {
-            // A worker that was removed may still be reported as changed.
-            if (worker->offerIndex < round.workers.size()
-                && round.workers[worker->offerIndex] == worker) {
-                updateOffer(state, round, worker->offerIndex, now);
-            }
-        }
-    } else {
+    round_work &work = state.roundSummary.work;
+    if (!std::exchange(state.workersListed, true)) {
         listWorkers(state, round);
-        state.allOffersChanged = true;
+    }
+    for (const tracked_worker_handle &worker : state.changedWorkers) {
+        // A worker that was removed may still be reported as changed.
+        if (worker->offerIndex < round.workers.size()
+            && round.workers[worker->offerIndex] == worker) {
+            updateOffer(state, round, worker->offerIndex, now, true);
+            ++work.offersUpdated;
+        }
     }
     state.changedWorkers.clear();
     const std::size_t count = round.offers.size();
-    const std::size_t updated = std::exchange(state.allOffersChanged, false)
-                                        ? count
-                                        : std::min(count, unchangedPerRound);
+    const std::size_t due = countUnchangedDue(round, now);
+    const std::size_t updated = std::exchange(state.allOffersChanged, false) ? count : due;
+    round.unchangedUpdatedAt = now;
+    work.offersUpdated += updated;
     for (std::size_t number = 0; number < updated; ++number) {
         round.nextUnchanged = round.nextUnchanged + 1 < count ? round.nextUnchanged + 1 : 0;
-        updateOffer(state, round, round.nextUnchanged, now);
+        updateOffer(state, round, round.nextUnchanged, now, false);
     }
     round.mostlyIdle = round.usedMilliCores * 2 < round.capacityMilliCores;
     round.rejected.clear();
     round.releases.clear();
+    std::erase_if(round.heldRooms, [now](const auto &one) {
+        return now - one.second.chosenAt >= heldRoomLifetime;
+    });
     round.held = 0;
     round.heldFirstRuns = 0;
 }
--- a/Source/Dispatch/worker_offers.h
+++ b/Source/Dispatch/worker_offers.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "Dispatch/dispatch_state.h"
+#include "Scheduling/offer_index.h"
 #include "Scheduling/room_forecast.h"
 
 namespace mango {
@@ -48,6 +49,17 @@
     std::uint64_t capacityMilliCores = 0;
     // The offer with which the next round begins to update those whose workers have not changed.
     std::size_t nextUnchanged = 0;
+    steady_time unchangedUpdatedAt{};
+    // Follows the changes of the offers from round to round.
+    offer_index index;
+
+    // Where room was held for a task, and when that was chosen.
+    struct held_room
+    {
+        std::size_t offer = 0;
+        steady_time chosenAt{};
+    };
+    std::map<task_key, held_room> heldRooms;
 
     // Valid for one round.
     //
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -187,6 +187,7 @@
 void processReport(const dispatch_handle &state, const tracked_worker_handle &worker,
                    const worker_report &report)
 {
+    const metered_work section(&state->context.work, work_kind::reports);
     const steady_time now = state->context.clock.now();
     recordClock(*worker, report.clock, now);
     recordWorkerHeardAgain(state, worker);
@@ -208,6 +209,7 @@
     for (const reported_run &row : report.running) {
         processReportedRun(state, worker, report, row);
     }
+    recordPace(*state, worker);
     const bool complete = report.malformedRows == 0 && report.ended.size() < maximumReportedEnds;
     if (complete) {
         resolveUnreportedRuns(state, worker, report);
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -32,6 +32,13 @@
     std::vector<latency_critical_task> latencyCritical;
     // The last runs failed or stalled, so that the worker gets only tasks of starved steps.
     bool inBackoff = false;
+    // It gets one more task, and is in backoff then.
+    bool oneAtATime = false;
+    // Subtracted from the score for tasks of the highest priority, for others, and for tasks that
+    // have failed before.
+    std::int64_t urgentCost = 0;
+    std::int64_t otherCost = 0;
+    std::int64_t retryCost = 0;
     // Set for a worker that gets no new work at all now.
     bool unavailable = false;
 };
@@ -52,6 +59,8 @@
     // long-running task has waited for a long time. One task may then run beside latency-critical
     // tasks that it interferes with, where it is throttled, or on a worker in backoff.
     bool starved = false;
+    // The queue has the highest priority.
+    bool urgent = false;
 };
 
 // Why a worker cannot run one more task of a step.
@@ -132,7 +141,8 @@
 // tasks and best-effort tasks beside long-running ones. Long-running tasks are spread over the
 // failure domains, and those of one image share workers, so that each best-effort image finds
 // workers on which it interferes with none of them. Short tasks go to workers with long-running
-// tasks first.
+// tasks first, among these to those with the fewest free cores, so that large tasks find room on a
+// service that is nearly full. They are spread over the other workers.
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request);
 
 // Returns the same, without a look at the offers when an earlier request of the round was rejected
@@ -140,6 +150,14 @@
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request,
                          std::vector<rejected_request> &rejected);
 
+// Returns how well the offer suits a short task whose data is in the rack, if any; higher is
+// better.
+std::int64_t shortTaskScore(const worker_offer &offer, const std::string &dataRack);
+
+// Returns the highest score that the offer can have for a best-effort task whose data is in the
+// rack, if any, whatever the task interferes with.
+std::int64_t mostBestEffortScore(const worker_offer &offer, const std::string &dataRack);
+
 // Returns the cores that best-effort tasks can expect on the worker, in thousandths.
 std::int64_t reclaimableMilliCores(const worker_offer &offer);
 
--- a/Source/Wire/rpc.cxx
+++ b/Source/Wire/rpc.cxx
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "Common/log.h"
 #include "Wire/codec.h"
@@ -10,6 +12,22 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// The least number of bytes that a connection receives in one turn of a busy loop.
+constexpr std::size_t bytesReadPerTurn = 4096;
+// The turns that it takes at most until a connection that has become readable is read.
+constexpr std::size_t turnsUntilRead = 4;
+
+// Returns the turns of the event loop within which the bytes that have arrived are processed. A
+// loop that is late finds an answer and the end of the wait for it in the same turn.
+std::size_t turnsToRead(std::size_t unreadBytes)
+{
+    return unreadBytes == 0 ? 0 : turnsUntilRead + unreadBytes / bytesReadPerTurn;
+}
+
+} // namespace
+
 struct rpc_client::pending_call
 {
     std::unique_ptr<wait_timer> timer;
@@ -17,12 +35,13 @@
 };
 
 rpc_client::rpc_client(asio::any_io_executor executor, clock_source &clock, network &transport,
-                       causal_clock &causalClock, host_address peer)
+                       causal_clock &causalClock, host_address peer, work_meter *work)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_transport(transport)
     , m_causalClock(causalClock)
     , m_peer(std::move(peer))
+    , m_work(work)
     , m_connected(clock)
 {}
 
@@ -42,13 +61,20 @@
     if (failed(ready)) {
         co_return failureOf(ready);
     }
+    if (m_clock.now() >= deadline) {
+        co_return network_failure{network_failure::kind::connectFailed, m_peer, "connected late"};
+    }
     pending_call pending{m_clock.makeTimer(), {}};
     const std::uint64_t correlation = m_nextCorrelation++;
     const std::uint64_t receivedBefore = m_framesReceived;
     const auto connection = m_connection;
     m_pendingCalls[correlation] = &pending;
-    connection->send({correlation, m_causalClock.tick(), false, encode(message)});
-    co_await pending.timer->waitFor(std::max(deadline - m_clock.now(), steady_span(0)));
+    send(*connection, correlation, message);
+    co_await pending.timer->waitFor(deadline - m_clock.now());
+    const std::size_t turns = pending.outcome ? 0 : turnsToRead(connection->unreadBytes());
+    for (std::size_t turn = 0; turn < turns && !pending.outcome; ++turn) {
+        co_await asio::post(m_executor, asio::use_awaitable);
+    }
     m_pendingCalls.erase(correlation);
     if (pending.outcome) {
         co_return std::move(*pending.outcome);
@@ -59,12 +85,20 @@
     co_return network_failure{network_failure::kind::timedOut, m_peer, ""};
 }
 
+void rpc_client::send(frame_connection &connection, std::uint64_t correlation, const call &message)
+{
+    const bool isAppend = std::holds_alternative<append_request>(message.message);
+    const metered_work section(m_work, isAppend ? work_kind::appends : work_kind::sends);
+    connection.send({correlation, m_causalClock.tick(), false, encode(message)});
+}
+
 asio::awaitable<result<done, network_failure>> rpc_client::ensureConnected(steady_span timeout)
 {
     while (m_connecting) {
         const bool notified = co_await m_connected.waitFor(timeout);
         if (!notified) {
-            co_return network_failure{network_failure::kind::timedOut, m_peer, "connecting"};
+            co_return network_failure{network_failure::kind::connectFailed, m_peer,
+                                      "no connection in time"};
         }
     }
     if (m_connection) {
@@ -99,22 +133,27 @@
             }
             co_return;
         }
-        const frame &message = valueOf(received);
-        m_causalClock.observe(message.timestamp);
-        ++m_framesReceived;
-        const auto found = m_pendingCalls.find(message.correlation);
-        if (!message.isResponse || found == m_pendingCalls.end()) {
-            continue;
-        }
-        response_message response;
-        if (decode(message.payload, response)) {
-            found->second->outcome = std::move(response);
-        } else {
-            found->second->outcome =
-                    network_failure{network_failure::kind::invalidFrame, m_peer, "not an answer"};
-        }
-        found->second->timer->cancel();
+        processResponse(valueOf(received));
+    }
+}
+
+void rpc_client::processResponse(const frame &message)
+{
+    const metered_work section(m_work, work_kind::answers);
+    m_causalClock.observe(message.timestamp);
+    ++m_framesReceived;
+    const auto found = m_pendingCalls.find(message.correlation);
+    if (!message.isResponse || found == m_pendingCalls.end()) {
+        return;
+    }
+    response_message response;
+    if (decode(message.payload, response)) {
+        found->second->outcome = std::move(response);
+    } else {
+        found->second->outcome =
+                network_failure{network_failure::kind::invalidFrame, m_peer, "not an answer"};
     }
+    found->second->timer->cancel();
 }
 
 void rpc_client::failPendingCalls()
@@ -138,27 +177,41 @@
 
 namespace {
 
+bool decodeCall(const frame &message, call &received, work_meter *work)
+{
+    const metered_work section(work, work_kind::served);
+    return decode(message.payload, received);
+}
+
+void respond(frame_connection &connection, std::uint64_t correlation, std::uint64_t timestamp,
+             const response_message &response, work_meter *work)
+{
+    const metered_work section(work, work_kind::served);
+    connection.send({correlation, timestamp, true, encode(response)});
+}
+
 asio::awaitable<void> handleCall(std::shared_ptr<frame_connection> connection,
-                                 causal_clock &causalClock, call_handler handler, frame message)
+                                 causal_clock &causalClock, call_handler handler, frame message,
+                                 work_meter *work)
 {
     call received;
     response_message response = call_refused{"not a call"};
-    if (decode(message.payload, received)) {
+    if (decodeCall(message, received, work)) {
         response = co_await handler(std::move(received), connection->peer());
     }
-    connection->send({message.correlation, causalClock.tick(), true, encode(response)});
+    respond(*connection, message.correlation, causalClock.tick(), response, work);
 }
 
 } // namespace
 
 result<done, network_failure> serveCalls(asio::any_io_executor executor, network &transport,
                                          causal_clock &causalClock, const host_address &address,
-                                         call_handler handler)
+                                         call_handler handler, work_meter *work)
 {
     return transport.listen(
             address,
-            [executor, &causalClock,
-             handler](std::shared_ptr<frame_connection> connection) -> asio::awaitable<void> {
+            [executor, &causalClock, handler,
+             work](std::shared_ptr<frame_connection> connection) -> asio::awaitable<void> {
                 while (true) {
                     auto received = co_await connection->receive();
                     if (failed(received)) {
@@ -172,7 +225,7 @@
                     causalClock.observe(valueOf(received).timestamp);
                     asio::co_spawn(executor,
                                    handleCall(connection, causalClock, handler,
-                                              std::move(valueOf(received))),
+                                              std::move(valueOf(received)), work),
                                    asio::detached);
                 }
             });
