wire: Let an answer that has arrived win over a timer that is late

After a halt or a long turn of a process all its timers are due at once, also those of calls whose answers lie unread in its sockets. Such calls counted as timed out, and the answers were dropped. A call whose timer was late by more than 5 ms now waits as long again, at most 500 ms, before it fails.

rpc_client.readsAnswersThatArrivedDuringAHalt guards it; it was run only with the change (passes).

--- a/Source/Wire/rpc.cxx
+++ b/Source/Wire/rpc.cxx
@@ -1,5 +1,7 @@
 #include "Wire/rpc.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -10,6 +12,16 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// A timer that fires this late tells nothing.
+constexpr auto punctual = std::chrono::milliseconds(5);
+// When the time limit of a call is over and its timer was late, the call waits as long again, at
+// most this long, for a response that has arrived unread.
+constexpr auto longestGrace = std::chrono::milliseconds(500);
+
+} // namespace
+
 struct rpc_client::pending_call
 {
     std::unique_ptr<wait_timer> timer;
@@ -49,6 +61,11 @@
     m_pendingCalls[correlation] = &pending;
     connection->send({correlation, m_causalClock.tick(), false, encode(message)});
     co_await pending.timer->waitFor(std::max(deadline - m_clock.now(), steady_span(0)));
+    const steady_span late = m_clock.now() - deadline;
+    if (!pending.outcome && late > punctual) {
+        // After a halt of this process all timers fire before what has arrived meanwhile is read.
+        co_await pending.timer->waitFor(std::min<steady_span>(late, longestGrace));
+    }
     m_pendingCalls.erase(correlation);
     if (pending.outcome) {
         co_return std::move(*pending.outcome);
--- a/Tests/Unit/wire_test.cxx
+++ b/Tests/Unit/wire_test.cxx
@@ -233,6 +233,38 @@
     EXPECT_EQ(answered, (std::vector<bool>{true, false, true}));
 }
 
+// After a halt of the caller all its timers are due, also those of calls that have been answered.
+TEST(rpc_client, readsAnswersThatArrivedDuringAHalt)
+{
+    boost::asio::io_context context(1);
+    auto clock = std::make_unique<fake_clock>(context);
+    const auto links = std::make_shared<fake_links>(context.get_executor(), *clock);
+    fake_network server(links, {"10.0.0.1", 1});
+    fake_network client(links, {"10.0.0.2", 1});
+    causal_clock stamps(*clock);
+    serveCalls(context.get_executor(), server, stamps, {"10.0.0.1", 1},
+               [&clock](call, host_address) -> boost::asio::awaitable<response_message> {
+                   co_await clock->sleepFor(std::chrono::milliseconds(1200));
+                   co_return acknowledged{};
+               });
+    const auto caller = std::make_shared<rpc_client>(context.get_executor(), *clock, client, stamps,
+                                                     host_address{"10.0.0.1", 1});
+    std::optional<bool> answered;
+    boost::asio::co_spawn(
+            context,
+            [](std::shared_ptr<rpc_client> peer,
+               std::optional<bool> &result) -> boost::asio::awaitable<void> {
+                const call message{0, transfer_leadership_request{}};
+                const auto outcome = co_await peer->invoke(message, std::chrono::seconds(1));
+                result = !failed(outcome);
+            }(caller, answered),
+            boost::asio::detached);
+    clock->advance(std::chrono::milliseconds(100));
+    clock->jump(std::chrono::seconds(3));
+    clock->advance(std::chrono::milliseconds(100));
+    EXPECT_EQ(answered, true);
+}
+
 // Frames end anywhere in what one read returns, and large ones need many reads.
 TEST(tcp_network, deliversFramesOfAllSizesIntact)
 {
