scheduler: Give a run up only when no report of its worker is on its way

Callers saw a task run again after it was done (TWICE): its worker had listed the end in the answer to a long poll, but the worker's DELETE, a heartbeat of its next incarnation or the expiry of its lease at a slow leader was handled first, the run was queued as lost, and the end was only acknowledged. Messages on different paths are not ordered.

- A run of a worker that is gone is lost only when no call for a report is in flight.
- Calls to each incarnation of a worker carry a token of their own (term, then the number of the incarnation in the replicated state), since they name only the id.
Runs of earlier incarnations stay until the new one has reported all of its own, and what it has started on late requests is taken over.
This replaces the blocking of stale starts.
Relays compare the term, which is now a field of its own; a refusal by fence of an earlier incarnation's call says nothing about this leader.
- An end 'done' of a run that was given up all the same completes its task and stops newer runs (late-end, mango_late_ends_total).
- A start is not sent when the end of its run is queued or its worker is gone; a start that is not sent yet does not count as expired.
- A start refused as old may have run: a report decides.
- Batches of ends have numbers that differ between leaderships, and batches that the replica refused are proposed again, so that an acknowledgement never covers an end that is not committed.

--- a/Source/Dispatch/crash_tracking.cxx
+++ b/Source/Dispatch/crash_tracking.cxx
@@ -138,6 +138,17 @@
     return "unknown";
 }
 
+tracked_worker_handle findNewestIncarnation(const dispatch_state &state,
+                                            const tracked_worker_handle &worker)
+{
+    const std::string &id = worker->record.incarnation.id;
+    const auto after = state.workers.upper_bound({id, std::chrono::milliseconds::max()});
+    if (after == state.workers.begin() || std::prev(after)->first.id != id) {
+        return worker;
+    }
+    return std::prev(after)->second;
+}
+
 std::uint32_t countRecentCrashes(const dispatch_state &state, const host_address &address)
 {
     const auto found = state.crashesByAddress.find(address);
@@ -187,18 +198,48 @@
     recordWorkerReplaced(state, worker, evidence);
     worker->exited = true;
     markOfferChanged(*state, worker);
+    settleRunsOfFormerWorker(*state, worker);
+    worker->wake.notifyAll();
+}
+
+void recordWorkerRestart(const dispatch_handle &state, const tracked_worker_handle &worker)
+{
+    recordWorkerReplaced(state, worker, worker_exit_evidence::restarted);
+    worker->current = false;
+    markOfferChanged(*state, worker);
+    worker->wake.notifyAll();
+}
+
+void settleRunsOfFormerWorker(dispatch_state &state, const tracked_worker_handle &worker)
+{
+    const tracked_worker_handle newest = findNewestIncarnation(state, worker);
+    const bool replacedByKnown = newest != worker && newest->hasReportedAll;
+    if (!worker->reportCallsInFlight.empty() || (!worker->exited && !replacedByKnown)) {
+        return;
+    }
     for (auto &[key, run] : worker->runs) {
         if (run.phase != run_phase::planned) {
-            queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
+            queueRunEnd(state, worker, run, run_outcome::lost, run.checkpoint);
         }
     }
-    worker->wake.notifyAll();
+}
+
+void settleRunsOfEarlierIncarnations(dispatch_state &state, const tracked_worker_handle &newest)
+{
+    const worker_incarnation &incarnation = newest->record.incarnation;
+    const auto end = state.workers.lower_bound(incarnation);
+    for (auto at = state.workers.lower_bound({incarnation.id, std::chrono::milliseconds::min()});
+         at != end; ++at) {
+        settleRunsOfFormerWorker(state, at->second);
+    }
 }
 
 void endRunsOfSilentWorker(dispatch_state &state, const tracked_worker_handle &worker)
 {
     for (auto &[key, run] : worker->runs) {
-        if (run.phase != run_phase::planned && !run.endPending) {
+        if (run.phase != run_phase::planned && !run.endPending && worker->exitRecorded) {
+            queueRunEnd(state, worker, run, run_outcome::lost, run.checkpoint);
+        } else if (run.phase != run_phase::planned && !run.endPending) {
             worker->silencedRuns.push_back({key, knownOf(run)});
             queueRunEnd(state, worker, run, run_outcome::workerSilent, run.checkpoint);
         }
--- a/Source/Dispatch/crash_tracking.h
+++ b/Source/Dispatch/crash_tracking.h
@@ -19,8 +19,8 @@
 // Returns the name of the evidence in log lines and metric labels.
 const char *toText(worker_exit_evidence evidence);
 
-// Records that the process of a worker has ended, and queues the ends of its runs as crashed, or as
-// lost if the worker was draining.
+// Records that the process of a worker has ended and that no other one will carry out the requests
+// for it. Queues the ends of its runs as crashed, or as lost if the worker was draining.
 void recordWorkerExit(const dispatch_handle &state, const tracked_worker_handle &worker,
                       worker_exit_evidence evidence);
 
@@ -29,6 +29,21 @@
 void recordWorkerReplaced(const dispatch_handle &state, const tracked_worker_handle &worker,
                           worker_exit_evidence evidence);
 
+// Records that a newer incarnation answers under the worker's id. The runs of the worker remain
+// until the newer one has told which of them it has started on late requests.
+void recordWorkerRestart(const dispatch_handle &state, const tracked_worker_handle &worker);
+
+// Queues the ends of the remaining runs of a worker that is gone, once its newest incarnation has
+// reported all of its own runs to this leader and no report of the worker itself is on its way.
+void settleRunsOfFormerWorker(dispatch_state &state, const tracked_worker_handle &worker);
+
+// Does so for all earlier incarnations of a worker.
+void settleRunsOfEarlierIncarnations(dispatch_state &state, const tracked_worker_handle &newest);
+
+// Returns the incarnation of the worker that started last, among the known ones.
+tracked_worker_handle findNewestIncarnation(const dispatch_state &state,
+                                            const tracked_worker_handle &worker);
+
 // Returns how often workers at the address were found to have crashed a short time ago.
 std::uint32_t countRecentCrashes(const dispatch_state &state, const host_address &address);
 
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -135,6 +135,40 @@
     }
 }
 
+tracked_run *takeOverRun(dispatch_state &state, const tracked_worker_handle &worker,
+                         const run_key &key)
+{
+    const auto where = state.workerByRun.find(key);
+    if (where == state.workerByRun.end()) {
+        return nullptr;
+    }
+    const tracked_worker_handle earlier = where->second;
+    const auto found = earlier->runs.find(key);
+    const bool isEarlier = earlier->record.incarnation.id == worker->record.incarnation.id
+                           && earlier->record.incarnation < worker->record.incarnation;
+    if (!isEarlier || found == earlier->runs.end() || found->second.endPending) {
+        return nullptr;
+    }
+    tracked_run run = found->second;
+    removeRun(state, key);
+    run.onTrial = false;
+    run.firstConfirmedAt.reset();
+    run.lastConfirmedAt = worker_time(0);
+    run.blame.reset();
+    run.phase = run.phase == run_phase::stopping ? run_phase::stopping : run_phase::unconfirmed;
+    logEvent(log_part::scheduler, "run-taken-over",
+             {{"run", toText(key)},
+              {"worker", worker->record.incarnation.id},
+              {"from", earlier->record.incarnation.startTime.count()},
+              {"to", worker->record.incarnation.startTime.count()}});
+    ++state.context.metricsRegistry.at("mango_runs_taken_over_total");
+    addToUsage(*worker, run);
+    markOfferChanged(state, worker);
+    state.workerByRun[key] = worker;
+    countRun(state, *worker, key);
+    return &(worker->runs[key] = std::move(run));
+}
+
 bool holdsLeadership(const dispatch_state &state)
 {
     return state.active && !state.superseded && state.context.consensus.hasLeaderLease()
@@ -243,6 +277,35 @@
     wakeScheduler(state);
 }
 
+void recordLateEnd(dispatch_state &state, const tracked_worker_handle &worker,
+                   const reported_end &end)
+{
+    const auto &jobs = state.context.machine.state().jobs;
+    const auto job = jobs.find(end.key.task.job);
+    const task_state *task = job == jobs.end() ? nullptr : findTask(job->second, end.key.task);
+    if (end.outcome != run_outcome::done || task == nullptr || task->done || !isOpen(job->second)) {
+        return;
+    }
+    const auto pending = std::find_if(state.pendingEnds.begin(), state.pendingEnds.end(),
+                                      [&end](const end_runs::run_end &one) {
+                                          return one.key == end.key;
+                                      });
+    const bool isQueued = pending != state.pendingEnds.end();
+    logEvent(log_part::scheduler, "late-end",
+             {{"run", toText(end.key)},
+              {"worker", worker->record.incarnation.id},
+              {"given_up_as", isQueued ? toText(pending->outcome) : "committed"},
+              {"last_run", task->lastRun}});
+    ++state.context.metricsRegistry.at("mango_late_ends_total");
+    if (isQueued) {
+        pending->outcome = run_outcome::done;
+        pending->checkpoint = end.checkpoint;
+    } else {
+        state.pendingEnds.push_back({end.key, run_outcome::done, end.checkpoint, {}});
+    }
+    wakeScheduler(state);
+}
+
 void recordRunHealth(dispatch_state &state, const tracked_worker_handle &worker,
                      const tracked_run &run, run_outcome outcome, bool stalled)
 {
@@ -288,6 +351,34 @@
     asio::co_spawn(state->context.executor, sendStop(state, worker, run.key), asio::detached);
 }
 
+namespace {
+
+// Takes back the ends and the starts of runs that were proposed in vain. The leadership may last,
+// as when its transfer fails, and later acknowledgements must not cover ends that are not
+// committed.
+void restoreProposal(dispatch_state &state, const fleet_command &change)
+{
+    if (const auto *ended = std::get_if<end_runs>(&change)) {
+        state.pendingEnds.insert(state.pendingEnds.begin(), ended->ends.begin(), ended->ends.end());
+        const auto found = state.acknowledgements.find(ended->proposalId);
+        if (found != state.acknowledgements.end()) {
+            state.pendingAcknowledgements.insert(state.pendingAcknowledgements.begin(),
+                                                 found->second.begin(), found->second.end());
+            state.acknowledgements.erase(found);
+        }
+    } else if (const auto *started = std::get_if<begin_runs>(&change)) {
+        for (const begin_runs::run_start &start : started->runs) {
+            const auto where = state.workerByRun.find(start.key);
+            if (where != state.workerByRun.end()) {
+                queueRunEnd(state, where->second, where->second->runs.at(start.key),
+                            run_outcome::neverStarted, "");
+            }
+        }
+    }
+}
+
+} // namespace
+
 asio::awaitable<std::optional<fleet_command_result>> commitCommand(dispatch_handle state,
                                                                    fleet_command change)
 {
@@ -296,6 +387,9 @@
     state->context.metricsRegistry.histogram("mango_agree_seconds")
             .observe(state->context.clock.now() - begin);
     if (failed(committed)) {
+        if (failureOf(committed).reason == propose_failure::kind::notLeader) {
+            restoreProposal(*state, change);
+        }
         co_return std::nullopt;
     }
     co_return std::any_cast<fleet_command_result>(valueOf(committed));
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -89,8 +89,8 @@
     bool stopRequested = false;
     // The end of the run is queued for commit.
     bool endPending = false;
-    // When the start request expires, on the worker's clock.
-    worker_time startDeadline{0};
+    // When the start request expires, on the worker's clock; never before it is sent.
+    worker_time startDeadline = worker_time::max();
     // The worker's clock at the first and at the latest response that reported the run or accepted
     // a request for it.
     std::optional<worker_time> firstConfirmedAt;
@@ -144,6 +144,8 @@
     {}
 
     worker_record record;
+    // The fencing token of this leader's requests to it.
+    std::uint64_t fencingToken = 0;
     // The committed record of the worker id names this incarnation; only then it gets new work.
     bool current = true;
     // The process has certainly ended, or the worker has been removed.
@@ -185,9 +187,15 @@
     // those up to `lastEndCommitted` may be acknowledged.
     std::uint64_t lastEndReceived = 0;
     std::uint64_t lastEndCommitted = 0;
-    // Runs of earlier incarnations whose start requests may still arrive here; stop requests make
-    // the worker refuse them.
-    std::set<run_key> staleStartRequests;
+    // It has reported all of its runs to this leader, so that runs of its earlier incarnations that
+    // it has not reported do not exist and never will.
+    bool hasReportedAll = false;
+    // When the calls for reports were sent that are in flight. Their answers may list ends.
+    std::multiset<steady_time> reportCallsInFlight;
+    // When the latest of those was sent that failed although its relay did not.
+    std::optional<steady_time> failedCallSentAt;
+    // How often in a row its lease was found to have certainly expired.
+    std::uint32_t expiredChecks = 0;
     // Its place among the offers of the scheduling rounds.
     std::size_t offerIndex = 0;
     // It is among the changed workers of the state.
@@ -274,6 +282,7 @@
         : context(leaderContext)
         , term(leaderTerm)
         , leaderSince(leaderContext.clock.now())
+        , nextBatch((leaderTerm << 32U) + 1)
         , wake(leaderContext.clock)
     {}
 
@@ -290,9 +299,9 @@
     // Ends and their acknowledgements that are not proposed yet.
     std::vector<end_runs::run_end> pendingEnds;
     std::vector<end_acknowledgement> pendingAcknowledgements;
-    // By the number of the proposed batch.
+    // By the number of the proposed batch, which differs from those of other leaderships.
     std::map<std::uint64_t, std::vector<end_acknowledgement>> acknowledgements;
-    std::uint64_t nextBatch = 1;
+    std::uint64_t nextBatch;
     interference_model interference;
     // By the path prefix of a queue.
     std::map<std::string, run_times> runTimes;
@@ -359,6 +368,11 @@
 void queueRunEnd(dispatch_state &state, const tracked_worker_handle &worker, tracked_run &run,
                  run_outcome outcome, const std::string &checkpoint);
 
+// Records that a run was done that has been given up before: the report arrived late. The task then
+// counts as done, and its newer runs are stopped.
+void recordLateEnd(dispatch_state &state, const tracked_worker_handle &worker,
+                   const reported_end &end);
+
 // Stops a run that is no longer needed; a run whose start is not committed yet never starts.
 void requestStop(const dispatch_handle &state, const tracked_worker_handle &worker,
                  tracked_run &run);
@@ -374,6 +388,11 @@
 // Removes a run that has ended from its worker and its step.
 void removeRun(dispatch_state &state, const run_key &key);
 
+// Moves a run that an earlier incarnation of the worker was to start to the worker, which has
+// reported it. Returns null when there is no such run.
+tracked_run *takeOverRun(dispatch_state &state, const tracked_worker_handle &worker,
+                         const run_key &key);
+
 // The step of a task; null when its job is finished.
 tracked_step *findStep(dispatch_state &state, const task_key &key);
 
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -256,12 +256,12 @@
     if (m_stopping) {
         co_return relayFailure(worker_call_result::neverSent);
     }
-    if (request.worker.fencingToken < m_replica.term()) {
+    if (request.worker.term < m_replica.term()) {
         worker_call_answer refusal;
         refusal.answer = worker_response{worker_call_result::staleFencingToken, std::nullopt};
         co_return refusal;
     }
-    if (m_transits.isLate(request.worker.fencingToken, request.sentAt, m_context.clock.now())) {
+    if (m_transits.isLate(request.worker.term, request.sentAt, m_context.clock.now())) {
         ++m_context.metricsRegistry.at("mango_relay_late_calls_total");
         co_return relayFailure(worker_call_result::neverSent);
     }
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -65,6 +65,12 @@
     stopRunsOf(state, from, {task, 0});
 }
 
+void stopStep(const dispatch_handle &state, const task_key &member)
+{
+    stopRunsOf(state, {{member.job, member.occurrence, member.step, 0}, 0},
+               {{member.job, member.occurrence, member.step + 1, 0}, 0});
+}
+
 // Removes a finished job and stops its runs.
 void closeJob(const dispatch_handle &state, std::uint64_t number)
 {
@@ -122,6 +128,8 @@
 {
     auto worker = std::make_shared<tracked_worker>(state->context.clock);
     worker->record = record;
+    worker->fencingToken = fencingTokenOf(
+            state->term, incarnationNumber(state->context.machine.state(), record.incarnation));
     worker->heardAt = state->context.clock.now();
     state->workers[record.incarnation] = worker;
     state->workersListed = false;
@@ -161,28 +169,16 @@
     }
 }
 
-// Ends the runs of earlier incarnations of a worker. Start requests without a confirmed outcome may
-// still arrive at the new incarnation; they are blocked there first.
+// Stops the use of earlier incarnations of a worker. The new one may have carried out, or may still
+// carry out, start requests for them, so their runs remain until it has reported to this leader.
 void retireEarlierIncarnations(const dispatch_handle &state, const tracked_worker_handle &newer)
 {
     const worker_incarnation &newest = newer->record.incarnation;
     const auto end = state->workers.lower_bound(newest);
     for (auto at = state->workers.lower_bound({newest.id, std::chrono::milliseconds::min()});
          at != end; ++at) {
-        const tracked_worker_handle &worker = at->second;
-        recordWorkerReplaced(state, worker, worker_exit_evidence::restarted);
-        worker->current = false;
-        markOfferChanged(*state, worker);
-        for (auto &[key, run] : worker->runs) {
-            if (run.phase == run_phase::running || run.phase == run_phase::planned) {
-                queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
-            } else {
-                newer->staleStartRequests.insert(key);
-            }
-        }
-        worker->wake.notifyAll();
+        recordWorkerRestart(state, at->second);
     }
-    newer->wake.notifyAll();
 }
 
 void indexWorker(const dispatch_handle &state, const worker_incarnation &incarnation)
@@ -194,7 +190,7 @@
     const worker_record &record = committed->second;
     if (const tracked_worker_handle known = findWorker(*state, record.incarnation)) {
         known->record = record;
-        known->current = true;
+        known->current = !known->exitRecorded;
         markOfferChanged(*state, known);
         return;
     }
@@ -229,7 +225,7 @@
         }
         tracked_run &run = worker->runs.at(started.key);
         run.phase = run_phase::starting;
-        if (run.stopRequested || worker->exited) {
+        if (run.stopRequested || run.endPending || !worker->current || worker->exited) {
             queueRunEnd(*state, worker, run, run_outcome::neverStarted, "");
             continue;
         }
@@ -286,9 +282,15 @@
         }
         if (tracked_step *tracked = findStep(*state, key)) {
             tracked->unfinishedTasks = countUnfinished(job->second, key);
+            std::erase_if(tracked->waiting, [&](std::uint32_t index) {
+                return findTask(job->second, {key.job, key.occurrence, key.step, index})->done;
+            });
         }
+        // The other members of a gang end by themselves, except those of a newer run.
         if (!step.gang) {
             stopTask(state, key);
+        } else if (!worker) {
+            stopStep(state, key);
         }
     }
     for (const std::uint64_t number : affectedJobs) {
--- a/Source/Dispatch/run_throttling.cxx
+++ b/Source/Dispatch/run_throttling.cxx
@@ -51,7 +51,7 @@
                                    std::uint32_t percent, latency_critical_task limitingTask)
 {
     const worker_call_target target{worker->record.incarnation, worker->record.address,
-                                    state->term};
+                                    worker->fencingToken, state->term};
     const auto response = co_await state->context.workers.throttle(target, key, percent);
     const auto found = worker->runs.find(key);
     if (found == worker->runs.end()) {
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -7,6 +7,7 @@
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
 #include "Dispatch/round_report.h"
+#include "Dispatch/silent_workers.h"
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/task_placement.h"
 #include "Dispatch/trial_runs.h"
@@ -185,13 +186,7 @@
     std::vector<worker_incarnation> forgotten;
     dropStaleLoads(state->interference, now);
     for (const auto &[incarnation, worker] : state->workers) {
-        const steady_time leaseExpiry =
-                worker->answered && worker->clock
-                        ? latestExpiry(*worker->clock, worker->leasedUntil)
-                        : state->leaderSince + maximumLocalDuration(timing.workerLease);
-        if (now > leaseExpiry && !worker->exited) {
-            endRunsOfSilentWorker(*state, worker);
-        }
+        giveUpSilentWorker(state, worker);
         if (worker->trialSlots > 0 && now - worker->heardAt > timing.renewalSilenceLimit) {
             releaseTrialSlots(*state, *worker);
         }
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -27,12 +27,10 @@
 constexpr auto leadershipRecheckInterval = std::chrono::milliseconds(50);
 // A worker reports at most this many ends; a report of that size may be incomplete.
 constexpr std::size_t maximumReportedEnds = 500;
-// A request for an earlier incarnation that has not arrived by then never will.
-constexpr auto startRequestArrivalLimit = std::chrono::seconds(20);
 
 worker_call_target targetOf(const dispatch_state &state, const tracked_worker &worker)
 {
-    return {worker.record.incarnation, worker.record.address, state.term};
+    return {worker.record.incarnation, worker.record.address, worker.fencingToken, state.term};
 }
 
 void recordClock(tracked_worker &worker, const std::optional<worker_time> &workerTime,
@@ -54,6 +52,10 @@
     const worker_call_result result = response.result;
     const steady_time now = state->context.clock.now();
     if (result == worker_call_result::staleFencingToken) {
+        // A newer incarnation of the worker refuses the requests for earlier ones.
+        if (!worker->current) {
+            return;
+        }
         if (!state->superseded) {
             logEvent(log_part::scheduler, "outranked",
                      {{"worker", worker->record.incarnation.id}, {"term", state->term}});
@@ -108,18 +110,34 @@
     }
 }
 
+// The run of a worker that has reported it; null when the run is not tracked. A worker that has
+// restarted may have carried out a start request for its earlier incarnation.
+tracked_run *findRun(const dispatch_handle &state, const tracked_worker_handle &worker,
+                     const run_key &key)
+{
+    const auto found = worker->runs.find(key);
+    if (found != worker->runs.end()) {
+        return &found->second;
+    }
+    tracked_run *takenOver = takeOverRun(*state, worker, key);
+    if (takenOver != nullptr && takenOver->stopRequested) {
+        asio::co_spawn(state->context.executor, sendStop(state, worker, key), asio::detached);
+    }
+    return takenOver;
+}
+
 void processReportedRun(const dispatch_handle &state, const tracked_worker_handle &worker,
                         const worker_report &report, const reported_run &row)
 {
-    const auto found = worker->runs.find(row.key);
-    if (found == worker->runs.end()) {
+    tracked_run *known = findRun(state, worker, row.key);
+    if (known == nullptr) {
         // An untracked run, of a finished job or declared lost before: stop it.
         logEvent(log_part::scheduler, "stray-run",
                  {{"run", toText(row.key)}, {"worker", worker->record.incarnation.id}});
         asio::co_spawn(state->context.executor, sendStop(state, worker, row.key), asio::detached);
         return;
     }
-    tracked_run &run = found->second;
+    tracked_run &run = *known;
     if (run.phase == run_phase::unconfirmed || run.phase == run_phase::starting) {
         run.phase = run_phase::running;
     }
@@ -139,22 +157,24 @@
     }
 }
 
-void processReportedEnd(dispatch_state &state, const tracked_worker_handle &worker,
+void processReportedEnd(const dispatch_handle &state, const tracked_worker_handle &worker,
                         const reported_end &end)
 {
     if (end.number <= worker->lastEndReceived) {
         return;
     }
     worker->lastEndReceived = end.number;
-    const auto found = worker->runs.find(end.key);
-    if (found != worker->runs.end()) {
+    tracked_run *run = findRun(state, worker, end.key);
+    if (run == nullptr || run->endPending) {
+        recordLateEnd(*state, worker, end);
+    } else {
         if (end.outcome == run_outcome::done || end.outcome == run_outcome::failed) {
-            recordRunHealth(state, worker, found->second, end.outcome, false);
+            recordRunHealth(*state, worker, *run, end.outcome, false);
         }
-        queueRunEnd(state, worker, found->second, end.outcome,
-                    end.checkpoint.empty() ? found->second.checkpoint : end.checkpoint);
+        queueRunEnd(*state, worker, *run, end.outcome,
+                    end.checkpoint.empty() ? run->checkpoint : end.checkpoint);
     }
-    state.pendingAcknowledgements.push_back({worker, end.number});
+    state->pendingAcknowledgements.push_back({worker, end.number});
 }
 
 // Ends tracked runs that a complete report does not contain: they have ended or never started.
@@ -204,7 +224,7 @@
         }
     }
     for (const reported_end &end : report.ended) {
-        processReportedEnd(*state, worker, end);
+        processReportedEnd(state, worker, end);
     }
     for (const reported_run &row : report.running) {
         processReportedRun(state, worker, report, row);
@@ -212,32 +232,47 @@
     const bool complete = report.malformedRows == 0 && report.ended.size() < maximumReportedEnds;
     if (complete) {
         resolveUnreportedRuns(state, worker, report);
+        worker->hasReportedAll = true;
+        settleRunsOfEarlierIncarnations(*state, worker);
     }
     markOfferChanged(*state, worker);
     wakeScheduler(*state);
 }
 
-// Sends stop requests for runs of earlier incarnations, so that start requests which arrive late
-// are refused. A run counts as lost only once its stop request is accepted.
-asio::awaitable<void> blockStaleStartRequests(dispatch_handle state, tracked_worker_handle worker)
+// Calls for a report. What became of the runs of a worker that is gone is decided only when no such
+// call is in flight.
+asio::awaitable<std::variant<worker_report, worker_response>>
+callForReport(dispatch_handle state, tracked_worker_handle worker, renew_lease_request request)
 {
-    const std::set<run_key> keys = std::exchange(worker->staleStartRequests, {});
-    for (const run_key &key : keys) {
-        if (!holdsLeadership(*state)) {
-            co_return;
-        }
-        const auto response = co_await state->context.workers.stop(targetOf(*state, *worker), key);
-        const auto where = state->workerByRun.find(key);
-        if (where == state->workerByRun.end()) {
-            continue;
-        }
-        tracked_run &run = where->second->runs.at(key);
-        if (response.result == worker_call_result::done) {
-            queueRunEnd(*state, where->second, run, run_outcome::lost, run.checkpoint);
-        } else if (!run.endPending) {
-            worker->staleStartRequests.insert(key);
-        }
+    const auto sentAt = worker->reportCallsInFlight.insert(state->context.clock.now());
+    auto response = co_await state->context.workers.renewLease(targetOf(*state, *worker), request);
+    const auto *failure = std::get_if<worker_response>(&response);
+    if (failure != nullptr && !failure->relayFailed) {
+        worker->failedCallSentAt = *sentAt;
+    }
+    worker->reportCallsInFlight.erase(sentAt);
+    co_return response;
+}
+
+// Processes the answer to a call for a report; false when it holds none of this incarnation.
+bool handleReport(const dispatch_handle &state, const tracked_worker_handle &worker,
+                  const std::variant<worker_report, worker_response> &response)
+{
+    if (const auto *refusal = std::get_if<worker_response>(&response)) {
+        recordClock(*worker, refusal->clock, state->context.clock.now());
+        handleRefusal(state, worker, *refusal);
+        return false;
+    }
+    const auto &report = std::get<worker_report>(response);
+    if (report.startTime > worker->record.incarnation.startTime) {
+        // A newer incarnation answered under the same id; its own announcement registers it.
+        recordWorkerRestart(state, worker);
     }
+    if (report.startTime != worker->record.incarnation.startTime) {
+        return false;
+    }
+    processReport(state, worker, report);
+    return true;
 }
 
 // Renews the lease and processes the report; false when none came.
@@ -255,24 +290,19 @@
         request.wait = timing.renewalWait;
     }
     request.acknowledgedEnds = worker->lastEndCommitted;
-    const auto response =
-            co_await state->context.workers.renewLease(targetOf(*state, *worker), request);
+    const auto response = co_await callForReport(state, worker, request);
     if (!state->active) {
         co_return false;
     }
+    const bool reported = handleReport(state, worker, response);
+    settleRunsOfFormerWorker(*state, worker);
     if (const auto *refusal = std::get_if<worker_response>(&response)) {
-        recordClock(*worker, refusal->clock, state->context.clock.now());
-        handleRefusal(state, worker, *refusal);
         co_await state->context.clock.sleepFor(refusal->relayFailed ? relayRetryPause : retryPause);
         co_return false;
     }
-    const auto &report = std::get<worker_report>(response);
-    if (report.startTime > worker->record.incarnation.startTime) {
-        // A newer incarnation answered under the same id; its own announcement registers it.
-        recordWorkerExit(state, worker, worker_exit_evidence::restarted);
+    if (!reported) {
         co_return false;
     }
-    processReport(state, worker, report);
     const bool commitPending = worker->lastEndCommitted < worker->lastEndReceived;
     if (commitPending) {
         co_await worker->wake.waitFor(commitWaitLimit);
@@ -285,13 +315,14 @@
 {
     renew_lease_request request;
     request.acknowledgedEnds = worker->lastEndCommitted;
-    const auto response =
-            co_await state->context.workers.renewLease(targetOf(*state, *worker), request);
-    const auto *report = std::get_if<worker_report>(&response);
-    if (report != nullptr && state->active
-        && report->startTime == worker->record.incarnation.startTime) {
-        processReport(state, worker, *report);
+    const auto response = co_await callForReport(state, worker, request);
+    if (!state->active) {
+        co_return;
+    }
+    if (std::holds_alternative<worker_report>(response)) {
+        handleReport(state, worker, response);
     }
+    settleRunsOfFormerWorker(*state, worker);
 }
 
 bool isSessionOver(const dispatch_state &state, const tracked_worker &worker)
@@ -308,9 +339,6 @@
             co_await state->context.clock.sleepFor(leadershipRecheckInterval);
             continue;
         }
-        if (!worker->staleStartRequests.empty()) {
-            co_await blockStaleStartRequests(state, worker);
-        }
         const bool reported = co_await renewLeaseOnce(state, worker);
         if (reported && !isSessionOver(*state, *worker)) {
             co_await adjustThrottles(state, worker);
@@ -361,7 +389,10 @@
     if (found == worker->runs.end() || job == jobs.end()) {
         co_return;
     }
-    if (found->second.stopRequested || !worker->clock || !holdsLeadership(*state)) {
+    const bool mayStart = !found->second.stopRequested && !found->second.endPending
+                          && worker->answered && !isSessionOver(*state, *worker)
+                          && holdsLeadership(*state);
+    if (!mayStart) {
         queueRunEnd(*state, worker, found->second, run_outcome::neverStarted, "");
         co_return;
     }
@@ -418,7 +449,12 @@
               {"answer", toText(response.result)}});
     ++state->context.metricsRegistry.at("mango_starts_not_confirmed_total{answer=\""
                                         + toText(response.result) + "\"}");
-    if (response.result == worker_call_result::unanswered) {
+    if (response.result == worker_call_result::staleRun && response.clock) {
+        // A repeated request: the run has ended or was stopped there, which a report tells.
+        run.startDeadline = *response.clock;
+    }
+    if (response.result == worker_call_result::unanswered
+        || response.result == worker_call_result::staleRun) {
         run.phase = run.phase == run_phase::starting ? run_phase::unconfirmed : run.phase;
         co_await resolveUnansweredStart(state, worker, key);
         co_return;
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -60,6 +60,9 @@
         || endsDrain) {
         return fleet_command_result::unchanged;
     }
+    if (incarnation != known.incarnation) {
+        state.incarnationNumbers[incarnation.id] = ++state.incarnationsRegistered;
+    }
     known = change.record;
     state.heartbeatSequences[incarnation.id] = change.sequence;
     return fleet_command_result::applied;
@@ -73,6 +76,7 @@
     }
     state.workers.erase(known);
     state.heartbeatSequences.erase(change.incarnation.id);
+    state.incarnationNumbers.erase(change.incarnation.id);
     return fleet_command_result::applied;
 }
 
@@ -161,6 +165,15 @@
            && latest != state.heartbeatSequences.end() && sequence < latest->second;
 }
 
+std::uint64_t incarnationNumber(const fleet_state &state, const worker_incarnation &incarnation)
+{
+    const auto known = state.workers.find(incarnation.id);
+    const auto number = state.incarnationNumbers.find(incarnation.id);
+    const bool isRecorded = known != state.workers.end() && known->second.incarnation == incarnation
+                            && number != state.incarnationNumbers.end();
+    return isRecorded ? number->second : 0;
+}
+
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job)
 {
     if (const auto open = state.jobs.find(job); open != state.jobs.end()) {
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -199,6 +199,11 @@
     std::map<std::string, worker_record> workers;
     // By worker: the sequence number of the heartbeat that its record is from.
     std::map<std::string, std::uint64_t> heartbeatSequences;
+    // The number of incarnations registered so far, of all workers, and by worker the number of its
+    // recorded incarnation among them. It exceeds those of the worker's earlier incarnations, also
+    // of ones whose record was removed.
+    std::uint64_t incarnationsRegistered = 0;
+    std::map<std::string, std::uint64_t> incarnationNumbers;
     // Jobs that are open or have runs that may still be executing.
     std::map<std::uint64_t, job_state> jobs;
     // Final phases of the most recent other jobs, and the order in which those jobs ended.
@@ -211,8 +216,9 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(configuration, domainsOutOfService, workers, heartbeatSequences, jobs, finished,
-                finishedOrder, failures, pressures);
+        archive(configuration, domainsOutOfService, workers, heartbeatSequences,
+                incarnationsRegistered, incarnationNumbers, jobs, finished, finishedOrder, failures,
+                pressures);
     }
 };
 
@@ -224,6 +230,10 @@
 bool isOvertaken(const fleet_state &state, const worker_incarnation &incarnation,
                  std::uint64_t sequence);
 
+// Returns the number of the worker's recorded incarnation among all that were registered; 0 when
+// the incarnation is not the recorded one.
+std::uint64_t incarnationNumber(const fleet_state &state, const worker_incarnation &incarnation);
+
 // Returns the phase of a job; nullopt when the job is unknown.
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job);
 
--- a/Source/Fleet/worker_client.h
+++ b/Source/Fleet/worker_client.h
@@ -61,16 +61,24 @@
 {
     worker_incarnation incarnation;
     host_address address;
-    // The leader's term. A worker refuses requests with a lower token than one it has seen.
+    // A worker refuses requests with a lower token than one it has seen.
     std::uint64_t fencingToken = 0;
+    // The leader's term.
+    std::uint64_t term = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, address, fencingToken);
+        archive(incarnation, address, fencingToken, term);
     }
 };
 
+// Returns the fencing token of a leader's requests to one incarnation of a worker. A worker that
+// has restarted under its id accepts requests for its earlier incarnation, since requests name only
+// the id. The first request for the new incarnation puts an end to that: tokens are ordered by the
+// term and then by the number of the incarnation (see incarnationNumber()).
+std::uint64_t fencingTokenOf(std::uint64_t term, std::uint64_t incarnationNumber);
+
 // Asks a worker to start a run.
 struct start_run_request
 {
--- a/Source/Jobs/job_records.cxx
+++ b/Source/Jobs/job_records.cxx
@@ -186,16 +186,22 @@
     const auto run = std::find_if(task->active.begin(), task->active.end(), [&](const auto &one) {
         return one.run == key.run;
     });
+    const job_step &step = job.graph.steps[key.task.step];
+    job_occurrence &occurrence = job.occurrences[key.task.occurrence];
     if (run == task->active.end()) {
-        return false;
+        const bool isLateEnd = outcome == run_outcome::done && isOpen(job) && !step.longRunning
+                               && !task->done && key.run <= task->lastRun;
+        if (isLateEnd) {
+            markDone(occurrence, step, key.task);
+            updatePhase(job);
+        }
+        return isLateEnd;
     }
     const active_run ended = *run;
     task->active.erase(run);
     if (!checkpoint.empty()) {
         task->checkpoint = checkpoint;
     }
-    const job_step &step = job.graph.steps[key.task.step];
-    job_occurrence &occurrence = job.occurrences[key.task.occurrence];
     if (outcome == run_outcome::done && !step.longRunning) {
         markDone(occurrence, step, key.task);
     } else if (outcome == run_outcome::failed && !step.longRunning && !task->done) {
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -189,9 +189,10 @@
 // open, the task is done, or the run number does not exceed that of the task's last run.
 bool beginRun(job_state &job, const run_key &key, const worker_incarnation &worker);
 
-// Records the end of a run and updates the phase of the job. Returns false when the run was not
-// active. A non-empty checkpoint replaces that of the task. `blame` tells, for a run whose worker
-// crashed, whether it may be the cause.
+// Records the end of a run and updates the phase of the job. Returns false when that changes
+// nothing, as when the run was not active; but a run that was given up before and turns out to be
+// done still completes its task. A non-empty checkpoint replaces that of the task. `blame` tells,
+// for a run whose worker crashed, whether it may be the cause.
 bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint,
             crash_blame blame = crash_blame::possible);
 
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -12,6 +12,8 @@
 constexpr auto callDuration = std::chrono::milliseconds(1);
 constexpr auto responseTimeout = std::chrono::milliseconds(1000);
 constexpr auto checkInterval = std::chrono::milliseconds(10);
+// A longer lease is shortened to this.
+constexpr auto maximumLease = std::chrono::milliseconds(5000);
 
 } // namespace
 
@@ -62,6 +64,15 @@
     worker.running.erase(found);
 }
 
+void fake_workers::leave(const std::string &id)
+{
+    fake_worker &worker = m_workers.at(id);
+    worker.running.clear();
+    worker.ended.clear();
+    worker.unreachable = true;
+    forgetDoneOn(id);
+}
+
 void fake_workers::crash(const std::string &id)
 {
     crash(m_workers.at(id));
@@ -198,11 +209,15 @@
     if (clock > request.deadline) {
         return {worker_call_result::deadlineExceeded, clock};
     }
+    worker.leasedUntil =
+            std::max(worker.leasedUntil, std::min(request.deadline, clock + maximumLease));
+    if (worker.running.contains(request.key)) {
+        return {worker_call_result::done, clock};
+    }
     const auto blockedRuns = worker.blockedRuns.find(request.key.task);
     if (blockedRuns != worker.blockedRuns.end() && blockedRuns->second >= request.key.run) {
         return {worker_call_result::staleRun, clock};
     }
-    worker.leasedUntil = std::max(worker.leasedUntil, request.deadline);
     for (auto &[id, other] : m_workers) {
         finishDueRuns(other);
         for (const auto &[key, run] : other.running) {
@@ -211,7 +226,10 @@
             }
         }
     }
-    if (const auto done = m_doneOn.find(request.key.task); done != m_doneOn.end()) {
+    if (const auto done = m_doneForGood.find(request.key.task); done != m_doneForGood.end()) {
+        repeatedRuns.push_back(toText(request.key) + " was done and acknowledged on "
+                               + done->second);
+    } else if (const auto done = m_doneOn.find(request.key.task); done != m_doneOn.end()) {
         repeatedRuns.push_back(toText(request.key) + " was done on " + done->second);
     }
     worker.running[request.key] = {request.checkpoint, m_clock.now(),
@@ -312,18 +330,33 @@
             co_await m_clock.sleepFor(responseTimeout + request.wait);
             co_return worker_response{worker_call_result::unanswered, std::nullopt};
         }
-        worker.acknowledged = std::max(worker.acknowledged, request.acknowledgedEnds);
+        worker.acknowledged =
+                std::max(cursorsLast ? worker.acknowledged : 0, request.acknowledgedEnds);
+        for (const reported_end &end : worker.ended) {
+            if (end.number <= worker.acknowledged && end.outcome == run_outcome::done
+                && m_doneOn.contains(end.key.task)) {
+                m_doneForGood.insert_or_assign(end.key.task, worker.record.incarnation.id);
+            }
+        }
         std::erase_if(worker.ended, [&](const reported_end &end) {
             return end.number <= worker.acknowledged;
         });
         if (request.deadline) {
-            worker.leasedUntil = std::max(worker.leasedUntil, *request.deadline);
+            worker.leasedUntil =
+                    std::max(worker.leasedUntil,
+                             std::min(*request.deadline, clockOf(worker) + maximumLease));
         }
         if (!worker.ended.empty() || m_clock.now() >= until) {
             worker_report report;
             report.clock = clockOf(worker);
             report.startTime = worker.record.incarnation.startTime;
             report.ended = worker.ended;
+            for (const reported_end &end : worker.ended) {
+                if (listedEndsStay && end.outcome == run_outcome::done
+                    && m_doneOn.contains(end.key.task)) {
+                    m_doneForGood.insert_or_assign(end.key.task, worker.record.incarnation.id);
+                }
+            }
             for (const auto &[key, run] : worker.running) {
                 const auto worked =
                         worker.hangs ? 0 : (m_clock.now() - run.startedAt) * 100 / run.duration;
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -87,8 +87,12 @@
     // One entry for each start of a run while another run of the same task was in progress.
     std::vector<std::string> duplicateRuns;
     // One entry for each start of a task that was done before, unless the worker where it was done
-    // has restarted or its lease has expired since.
+    // has restarted or its lease has expired before the end was acknowledged.
     std::vector<std::string> repeatedRuns;
+    // The cursor of a call also has the worker forget ends that follow the call.
+    bool cursorsLast = true;
+    // An end counts as acknowledged once it is in the answer to a call.
+    bool listedEndsStay = false;
     std::vector<recorded_start> starts;
     // The share of full speed, in percent, that each run was last set to.
     std::map<run_key, std::uint32_t> throttles;
@@ -106,6 +110,9 @@
     // How long no process answers at the address of a crashed worker.
     std::chrono::milliseconds downTime{3000};
     std::vector<recorded_crash> crashes;
+    // Ends the process of a worker for good, with all of its runs and of the ends that it has not
+    // listed.
+    void leave(const std::string &id);
     // Crashes the process of a worker with all of its runs.
     void crash(const std::string &id);
     // Returns the ids of the workers that have taken the place of crashed ones since the last call.
@@ -151,6 +158,8 @@
 
     // By task that is done: the worker.
     std::map<task_key, std::string> m_doneOn;
+    // By task that was done and acknowledged: the worker.
+    std::map<task_key, std::string> m_doneForGood;
     std::uint16_t m_nextPort = 9000;
     std::int64_t m_nextBorn = 1000;
     std::vector<std::string> m_replacements;
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds delay{0};
     // Called for each call when it is set, instead of `delay`.
     std::function<std::chrono::milliseconds()> drawDelay;
+    // Called for each report when it is set: how long it waits in this process before it is read.
+    std::function<std::chrono::milliseconds()> drawReadDelay;
 
     boost::asio::awaitable<worker_response> start(worker_call_target target,
                                                   start_run_request request) override
@@ -65,7 +67,10 @@
         const bool sent = co_await send();
         if (sent) {
             response = co_await m_all.renewLease(std::move(target), request);
-            const std::chrono::milliseconds wait = drawDelay ? drawDelay() : delay;
+            std::chrono::milliseconds wait = drawDelay ? drawDelay() : delay;
+            if (drawReadDelay) {
+                wait = drawReadDelay();
+            }
             co_await m_clock.sleepFor(wait);
         }
         co_return response;
--- a/Tests/Unit/relay_test.cxx
+++ b/Tests/Unit/relay_test.cxx
@@ -293,7 +293,7 @@
     for (const std::uint64_t used : {term - 1, term}) {
         worker_call request;
         request.worker = {group.workers.at("w1").record.incarnation,
-                          group.workers.at("w1").record.address, used};
+                          group.workers.at("w1").record.address, fencingTokenOf(used, 1000), used};
         request.sentAt =
                 std::chrono::duration_cast<milliseconds>(group.clock.now().time_since_epoch());
         request.request = stop_run_request{{{77, 0, 0, 0}, 1}};
