scheduler: Ask a worker that leaves for a last report before its runs are given up

What callers could see: a task run again although its worker had listed its end.

A worker that leaves is asked for a report before the response to its farewell. A cursor is sent only while the worker still lists ends below it.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -236,10 +236,13 @@
     const auto &committed = state->context.machine.state().workers;
     const auto known = committed.find(call.worker);
     // The call may be of an earlier incarnation: it ends only a worker that has announced to drain.
-    if (known != committed.end() && known->second.draining) {
-        if (const tracked_worker_handle worker = findWorker(*state, known->second.incarnation)) {
-            recordWorkerExit(state, worker, worker_exit_evidence::deregistered);
-        }
+    if (known == committed.end() || !known->second.draining) {
+        co_return responseOf(fleet_outcome::accepted);
+    }
+    if (const tracked_worker_handle worker = findWorker(*state, known->second.incarnation)) {
+        // It ends once it has the response; what has ended there is reported before.
+        co_await requestReport(state, worker);
+        recordWorkerExit(state, worker, worker_exit_evidence::deregistered);
     }
     co_return responseOf(fleet_outcome::accepted);
 }
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -157,6 +157,7 @@
     run.firstConfirmedAt.reset();
     run.lastConfirmedAt = worker_time(0);
     run.blame.reset();
+    run.throttlePercent = 100;
     run.phase = run.phase == run_phase::stopping ? run_phase::stopping : run_phase::unconfirmed;
     logEvent(log_part::scheduler, "run-taken-over",
              {{"run", toText(key)},
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -198,6 +198,8 @@
     // those up to `lastEndCommitted` may be acknowledged.
     std::uint64_t lastEndReceived = 0;
     std::uint64_t lastEndCommitted = 0;
+    // The first end in its last report; 0 when that listed none.
+    std::uint64_t oldestListedEnd = 0;
     // It has reported all of its runs to this leader, so that runs of its earlier incarnations that
     // it has not reported do not exist and never will.
     bool hasReportedAll = false;
@@ -421,6 +423,9 @@
 // leadership ends.
 boost::asio::awaitable<void> runWorkerSession(dispatch_handle state, tracked_worker_handle worker);
 
+// Has the worker report at once, beside the renewal that may be waiting for an end.
+boost::asio::awaitable<void> requestReport(dispatch_handle state, tracked_worker_handle worker);
+
 // Sends the start request of a run whose start is committed.
 boost::asio::awaitable<void> sendStart(dispatch_handle state, tracked_worker_handle worker,
                                        run_key key);
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -54,7 +54,7 @@
     const steady_time now = state->context.clock.now();
     if (result == worker_call_result::staleFencingToken) {
         // A newer incarnation of the worker refuses the requests for earlier ones.
-        if (!worker->current) {
+        if (!worker->current || worker->exited) {
             return;
         }
         if (!state->superseded) {
@@ -223,6 +223,7 @@
             }
         }
     }
+    worker->oldestListedEnd = report.ended.empty() ? 0 : report.ended.front().number;
     for (const reported_end &end : report.ended) {
         processReportedEnd(state, worker, end);
     }
@@ -240,6 +241,15 @@
     wakeScheduler(*state);
 }
 
+// Returns the cursor up to which the worker may forget ends. A restarted worker that gets a call
+// for its earlier incarnation late would forget its own ends, so no cursor is sent without need.
+std::uint64_t endsToAcknowledge(const tracked_worker &worker)
+{
+    return worker.oldestListedEnd != 0 && worker.oldestListedEnd <= worker.lastEndCommitted
+                   ? worker.lastEndCommitted
+                   : 0;
+}
+
 // Calls for a report. What became of the runs of a worker that is gone is decided only when no such
 // call is in flight.
 asio::awaitable<std::variant<worker_report, worker_response>>
@@ -249,7 +259,8 @@
     auto response = co_await state->context.workers.renewLease(targetOf(*state, *worker), request);
     const auto *failure = std::get_if<worker_response>(&response);
     if (failure != nullptr && !failure->relayFailed) {
-        worker->failedCallSentAt = *sentAt;
+        worker->failedCallSentAt =
+                std::max(worker->failedCallSentAt.value_or(steady_time{}), *sentAt);
     }
     worker->reportCallsInFlight.erase(sentAt);
     co_return response;
@@ -290,7 +301,7 @@
         request.deadline = grantDeadline(*state, *worker, timing.workerLease);
         request.wait = timing.renewalWait;
     }
-    request.acknowledgedEnds = worker->lastEndCommitted;
+    request.acknowledgedEnds = endsToAcknowledge(*worker);
     const auto response = co_await callForReport(state, worker, request);
     if (!state->active) {
         co_return false;
@@ -302,6 +313,7 @@
         co_return false;
     }
     if (!reported) {
+        co_await state->context.clock.sleepFor(retryPause);
         co_return false;
     }
     const bool commitPending = worker->lastEndCommitted < worker->lastEndReceived;
@@ -311,11 +323,17 @@
     co_return true;
 }
 
-// Has the worker report at once, beside the renewal that may be waiting for an end.
+bool isSessionOver(const dispatch_state &state, const tracked_worker &worker)
+{
+    return !state.active || worker.exited || !worker.current;
+}
+
+} // namespace
+
 asio::awaitable<void> requestReport(dispatch_handle state, tracked_worker_handle worker)
 {
     renew_lease_request request;
-    request.acknowledgedEnds = worker->lastEndCommitted;
+    request.acknowledgedEnds = endsToAcknowledge(*worker);
     const auto response = co_await callForReport(state, worker, request);
     if (!state->active) {
         co_return;
@@ -326,13 +344,6 @@
     settleRunsOfFormerWorker(*state, worker);
 }
 
-bool isSessionOver(const dispatch_state &state, const tracked_worker &worker)
-{
-    return !state.active || worker.exited || !worker.current;
-}
-
-} // namespace
-
 asio::awaitable<void> runWorkerSession(dispatch_handle state, tracked_worker_handle worker)
 {
     while (!isSessionOver(*state, *worker)) {
