placement: Let the index of offers know the doubts about workers

Doubts about a worker (worker_soundness) lowered its score, but not the bounds of the index, so that the search looked at all offers with room whenever all workers were doubted alike, as for each task that had failed before. The trees now hold the score less the doubts, by urgency and by whether the task is a retry. offer_index_test draws doubts as well.

--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -83,13 +83,15 @@
     return offer;
 }
 
-// Returns true when the offers of a worker, whose record has not changed, differ in their
-// resources.
+// Returns true when the offers of a worker, whose record has not changed, differ in their resources
+// or their scores.
 bool differInRoom(const worker_offer &one, const worker_offer &other)
 {
     return other.record == nullptr || one.unavailable != other.unavailable
            || one.inBackoff != other.inBackoff || !(one.used == other.used)
            || one.longRunningMilliCores != other.longRunningMilliCores
+           || one.urgentCost != other.urgentCost || one.otherCost != other.otherCost
+           || one.retryCost != other.retryCost
            || (!one.unavailable && reclaimableMilliCores(one) != reclaimableMilliCores(other));
 }
 
--- a/Source/Scheduling/offer_index.cxx
+++ b/Source/Scheduling/offer_index.cxx
@@ -19,8 +19,9 @@
         || (!key.requiredLabel.empty() && !record.hasLabel(key.requiredLabel))) {
         return {};
     }
-    return {shortTaskScore(offer, key.dataRack),
-            mostBestEffortScore(offer, key.dataRack),
+    const std::int64_t doubt = doubtCost(offer, key.doubts);
+    return {shortTaskScore(offer, key.dataRack) - doubt,
+            mostBestEffortScore(offer, key.dataRack) - doubt,
             std::int64_t(record.capacity.milliCores) - offer.used.milliCores,
             reclaimableMilliCores(offer),
             std::int64_t(record.capacity.memoryMb) - offer.used.memoryMb,
@@ -73,7 +74,7 @@
                              const placement_request &request)
 {
     const tree_key key{*request.service, request.step->requiredLabel, request.step->dataRack,
-                       request.starved};
+                       request.starved, doubtsOf(request)};
     const std::uint64_t changeCount = index.firstChange + index.changes.size();
     auto found = index.trees.find(key);
     const bool isNew = found == index.trees.end();
--- a/Source/Scheduling/offer_index.h
+++ b/Source/Scheduling/offer_index.h
@@ -28,6 +28,7 @@
     std::string dataRack;
     // Workers in backoff count as well.
     bool starved = false;
+    placement_doubts doubts;
 
     auto operator<=>(const tree_key &) const = default;
 };
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -56,14 +56,6 @@
     return dataRack.empty() || offer.record->hasLabel(dataRack) ? 0 : otherRackCost;
 }
 
-// Returns what the earlier runs of the worker, and those of the task, tell against the worker.
-std::int64_t doubtCost(const worker_offer &offer, const placement_request &request)
-{
-    // The task has run elsewhere before, without success.
-    const bool isRetry = request.avoidedWorkers != nullptr;
-    return (request.urgent ? offer.urgentCost : offer.otherCost) + (isRetry ? offer.retryCost : 0);
-}
-
 // Returns a score of a worker without doubts, where higher is better.
 std::int64_t soundScoreOf(const worker_offer &offer, const placement_request &request)
 {
@@ -230,7 +222,7 @@
     scored.excludedByRuns = obstacle == placement_obstacle::triedBefore
                             || obstacle == placement_obstacle::perWorkerLimit;
     if (scored.fits) {
-        scored.score = soundScoreOf(offer, request) - doubtCost(offer, request);
+        scored.score = soundScoreOf(offer, request) - doubtCost(offer, doubtsOf(request));
     }
     return scored;
 }
@@ -267,6 +259,17 @@
     return choice;
 }
 
+placement_doubts doubtsOf(const placement_request &request)
+{
+    return {request.urgent, request.avoidedWorkers != nullptr};
+}
+
+std::int64_t doubtCost(const worker_offer &offer, const placement_doubts &doubts)
+{
+    return (doubts.urgent ? offer.urgentCost : offer.otherCost)
+           + (doubts.isRetry ? offer.retryCost : 0);
+}
+
 std::int64_t shortTaskScore(const worker_offer &offer, const std::string &dataRack)
 {
     constexpr std::int64_t besideLongRunning = 100'000;
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -150,6 +150,22 @@
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request,
                          std::vector<rejected_request> &rejected);
 
+// What decides which doubts about a worker count for a task.
+struct placement_doubts
+{
+    bool urgent = false;
+    // The task has run elsewhere before, without success.
+    bool isRetry = false;
+
+    auto operator<=>(const placement_doubts &) const = default;
+};
+
+// Returns which doubts about a worker count for the request.
+placement_doubts doubtsOf(const placement_request &request);
+
+// Returns what earlier runs tell against the worker, to be subtracted from its score.
+std::int64_t doubtCost(const worker_offer &offer, const placement_doubts &doubts);
+
 // Returns how well the offer suits a short task whose data is in the rack, if any; higher is
 // better.
 std::int64_t shortTaskScore(const worker_offer &offer, const std::string &dataRack);
--- a/Tests/Unit/offer_index_test.cxx
+++ b/Tests/Unit/offer_index_test.cxx
@@ -35,6 +35,9 @@
         offer.record = &records[at];
         offer.unavailable = random.below(8) == 0;
         offer.inBackoff = random.below(8) == 0;
+        offer.urgentCost = static_cast<std::int64_t>(random.below(3) * 1'000'000);
+        offer.otherCost = static_cast<std::int64_t>(random.below(3) * 1'000'000);
+        offer.retryCost = static_cast<std::int64_t>(random.below(2) * 1'000'000);
         offer.longRunningMilliCores = static_cast<std::uint32_t>(random.below(3) * 1000);
         offer.used = {static_cast<std::uint32_t>(random.below(17) * 500),
                       static_cast<std::uint32_t>(random.below(17) * 500), 0};
@@ -120,6 +123,7 @@
                                                                     ? 1 + random.below(3)
                                                                     : 4 + random.below(3))};
             request.starved = random.below(4) == 0;
+            request.urgent = random.below(2) == 0;
             const offer_choice expected = chooseOffer(fleet.offers, request);
             const offer_choice found = chooseIndexed(index, fleet.offers, request);
             ASSERT_EQ(found.index, expected.index) << "seed " << seed << ", step " << number;
