--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -20,6 +20,8 @@
 
 // Collects the changes of this time in one scheduling round and one command of the replicated log.
 constexpr auto batchingDelay = std::chrono::milliseconds(4);
+// A timer that fires at most this late shows that the process has no other work to do.
+constexpr auto idleLoopLag = std::chrono::milliseconds(2);
 // The longest time between rounds, for deadlines and schedules that no event announces.
 constexpr auto maximumRoundInterval = std::chrono::milliseconds(100);
 // How often the learned interference is committed for the next leader.
@@ -258,6 +260,19 @@
     return end;
 }
 
+// Gives lease renewals and heartbeats as much time as the last round took. The pause ends earlier
+// when a timer fires in time, since nothing else waits then.
+asio::awaitable<void> pauseAfterRound(clock_source &clock, steady_span lastRound)
+{
+    const steady_time begin = clock.now();
+    steady_span late{0};
+    do {
+        const steady_time due = clock.now() + batchingDelay;
+        co_await clock.sleepFor(batchingDelay);
+        late = clock.now() - due;
+    } while (late > idleLoopLag && clock.now() - begin < lastRound);
+}
+
 } // namespace
 
 asio::awaitable<void> runScheduler(dispatch_handle state)
@@ -268,8 +283,7 @@
         if (!state->changed) {
             co_await state->wake.waitFor(maximumRoundInterval);
         }
-        // After a long round lease renewals and heartbeats get as much time as it took.
-        co_await state->context.clock.sleepFor(std::max<steady_span>(batchingDelay, lastRound));
+        co_await pauseAfterRound(state->context.clock, lastRound);
         if (!holdsLeadership(*state)) {
             co_await state->context.clock.sleepFor(batchingDelay * 5);
             continue;
