scheduler: Move no runs from slow workers when many workers seem slow

When more than a third of the workers seems slow, the expected times are wrong rather than the workers.

Worker reports are processed in a file of their own; nothing else in them has changed.

--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -16,6 +16,19 @@
 // many workers are silent, all of their runs are suspects.
 constexpr std::size_t suspectsPerCheck = 100;
 
+// When a larger share of the workers seems slow, one in this many, the times that runs are expected
+// to take are wrong rather than the workers, and moves would only repeat work.
+constexpr std::size_t mostSlowWorkers = 3;
+
+bool areFewWorkersSlow(const dispatch_state &state)
+{
+    const auto slow =
+            std::count_if(state.workers.begin(), state.workers.end(), [](const auto &item) {
+                return item.second->soundness.slowAt.has_value();
+            });
+    return static_cast<std::size_t>(slow) * mostSlowWorkers <= state.workers.size();
+}
+
 bool isActive(const tracked_run &run)
 {
     return (run.phase == run_phase::running || run.phase == run_phase::unconfirmed)
@@ -86,6 +99,7 @@
     }
     state->stragglersCheckedAt = now;
     const auto &jobs = state->context.machine.state().jobs;
+    const bool mayBeSlow = areFewWorkersSlow(*state);
     for (const auto &[key, worker] : findSuspects(*state, now)) {
         state->lastSuspect = key;
         ++state->roundSummary.work.suspects;
@@ -100,6 +114,7 @@
         const auto expected = expectedRunTime(
                 state->runTimes[job->second.queueParameters.pathPrefix], run.estimate);
         run_progress progress = progressOf(*worker, run, expected, now);
+        progress.workerIsSlow = progress.workerIsSlow && mayBeSlow;
         const auto tried = step.avoidedWorkers.find(key.task.index);
         progress.triedWorkerCount = tried == step.avoidedWorkers.end()
                                             ? 0
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -8,6 +8,7 @@
 #include "Dispatch/crash_tracking.h"
 #include "Dispatch/room_refusals.h"
 #include "Dispatch/run_throttling.h"
+#include "Dispatch/worker_reports.h"
 
 namespace mango {
 
@@ -15,8 +16,6 @@
 
 namespace {
 
-// A tail latency below this share of its target is certainly within it.
-constexpr double targetClearedRatio = 0.93;
 // The pause after a failed call.
 constexpr auto retryPause = std::chrono::milliseconds(250);
 // The pause after a call whose relay failed; the next one uses another relay.
@@ -26,23 +25,12 @@
 constexpr auto commitWaitLimit = std::chrono::milliseconds(300);
 // How often to check whether the leadership is certain again.
 constexpr auto leadershipRecheckInterval = std::chrono::milliseconds(50);
-// A worker reports at most this many ends; a report of that size may be incomplete.
-constexpr std::size_t maximumReportedEnds = 500;
 
 worker_call_target targetOf(const dispatch_state &state, const tracked_worker &worker)
 {
     return {worker.record.incarnation, worker.record.address, worker.fencingToken, state.term};
 }
 
-void recordClock(tracked_worker &worker, const std::optional<worker_time> &workerTime,
-                 steady_time now)
-{
-    if (workerTime) {
-        updateReading(worker.clock, *workerTime, now);
-        worker.heardAt = now;
-    }
-}
-
 // Records what a refused or unanswered request says about the worker or this leader.
 void handleRefusal(const dispatch_handle &state, const tracked_worker_handle &worker,
                    const worker_response &response)
@@ -94,153 +82,6 @@
             .observe(state.context.clock.now() - found->second.knownSince);
 }
 
-// Tracks since when a long-running run has exceeded its latency target. Reports are imprecise, so
-// one just below the target does not reset the time.
-void updateOverTarget(tracked_run &run, steady_time now)
-{
-    if (run.tailLatencyTarget.count() == 0) {
-        return;
-    }
-    const double tail = run.recentLoad / static_cast<double>(run.tailLatencyTarget.count());
-    if (tail >= 1 && !run.overTargetSince) {
-        run.overTargetSince = now;
-    } else if (tail < targetClearedRatio) {
-        run.overTargetSince.reset();
-    }
-}
-
-// The run of a worker that has reported it; null when the run is not tracked. A worker that has
-// restarted may have carried out a start request for its earlier incarnation.
-tracked_run *findRun(const dispatch_handle &state, const tracked_worker_handle &worker,
-                     const run_key &key)
-{
-    const auto found = worker->runs.find(key);
-    if (found != worker->runs.end()) {
-        return &found->second;
-    }
-    tracked_run *takenOver = takeOverRun(*state, worker, key);
-    if (takenOver != nullptr && takenOver->stopRequested) {
-        asio::co_spawn(state->context.executor, sendStop(state, worker, key), asio::detached);
-    }
-    return takenOver;
-}
-
-void processReportedRun(const dispatch_handle &state, const tracked_worker_handle &worker,
-                        const worker_report &report, const reported_run &row)
-{
-    tracked_run *known = findRun(state, worker, row.key);
-    if (known == nullptr) {
-        // An untracked run, of a finished job or declared lost before: stop it.
-        logEvent(log_part::scheduler, "stray-run",
-                 {{"run", toText(row.key)}, {"worker", worker->record.incarnation.id}});
-        asio::co_spawn(state->context.executor, sendStop(state, worker, row.key), asio::detached);
-        return;
-    }
-    tracked_run &run = *known;
-    if (run.phase == run_phase::unconfirmed || run.phase == run_phase::starting) {
-        run.phase = run_phase::running;
-    }
-    confirmRun(run, report.clock);
-    if (hasSurvivedStart(run)) {
-        endTrial(*state, worker, run);
-    }
-    run.reportedAt = state->context.clock.now();
-    if (row.progressPercent != run.progressPercent) {
-        run.progressedAt = state->context.clock.now();
-    }
-    run.progressPercent = row.progressPercent;
-    run.recentLoad = row.recentLoad;
-    updateOverTarget(run, state->context.clock.now());
-    if (!row.checkpoint.empty()) {
-        run.checkpoint = row.checkpoint;
-    }
-}
-
-void processReportedEnd(const dispatch_handle &state, const tracked_worker_handle &worker,
-                        const reported_end &end)
-{
-    if (end.number <= worker->lastEndReceived) {
-        return;
-    }
-    worker->lastEndReceived = end.number;
-    tracked_run *run = findRun(state, worker, end.key);
-    if (run == nullptr || run->endPending) {
-        recordLateEnd(*state, worker, end);
-    } else {
-        if (end.outcome == run_outcome::done || end.outcome == run_outcome::failed) {
-            recordRunHealth(*state, worker, *run, end.outcome, false);
-        }
-        queueRunEnd(*state, worker, *run, end.outcome,
-                    end.checkpoint.empty() ? run->checkpoint : end.checkpoint);
-    }
-    state->pendingAcknowledgements.push_back({worker, end.number});
-}
-
-// Ends tracked runs that a complete report does not contain: they have ended or never started.
-void resolveUnreportedRuns(const dispatch_handle &state, const tracked_worker_handle &worker,
-                           const worker_report &report)
-{
-    std::vector<run_key> reported;
-    reported.reserve(report.running.size());
-    for (const reported_run &row : report.running) {
-        reported.push_back(row.key);
-    }
-    std::sort(reported.begin(), reported.end());
-    for (auto &[key, run] : worker->runs) {
-        if (run.endPending || run.phase == run_phase::planned
-            || std::binary_search(reported.begin(), reported.end(), key)) {
-            continue;
-        }
-        const bool reportedLater = report.clock > run.lastConfirmedAt;
-        const bool requestExpired = report.clock > run.startDeadline;
-        if (run.phase == run_phase::running && reportedLater) {
-            queueRunEnd(*state, worker, run, run_outcome::lost, run.checkpoint);
-        } else if (run.phase == run_phase::stopping && reportedLater) {
-            queueRunEnd(*state, worker, run, run_outcome::stopped, run.checkpoint);
-        } else if ((run.phase == run_phase::unconfirmed || run.phase == run_phase::starting)
-                   && requestExpired && reportedLater) {
-            queueRunEnd(*state, worker, run, run_outcome::neverStarted, "");
-        }
-    }
-}
-
-void processReport(const dispatch_handle &state, const tracked_worker_handle &worker,
-                   const worker_report &report)
-{
-    const metered_work section(&state->context.work, work_kind::reports);
-    const steady_time now = state->context.clock.now();
-    recordClock(*worker, report.clock, now);
-    recordWorkerHeardAgain(state, worker);
-    if (!worker->answered) {
-        worker->answered = true;
-        // An earlier leader may have granted a lease of the same length just before.
-        worker->leasedUntil =
-                std::max(worker->leasedUntil, report.clock + state->context.timing.workerLease);
-        // The worker refuses requests of earlier leaders from here on, so they count as expired.
-        for (auto &[key, run] : worker->runs) {
-            if (run.phase == run_phase::unconfirmed) {
-                run.startDeadline = report.clock - worker_time(1);
-            }
-        }
-    }
-    worker->oldestListedEnd = report.ended.empty() ? 0 : report.ended.front().number;
-    for (const reported_end &end : report.ended) {
-        processReportedEnd(state, worker, end);
-    }
-    for (const reported_run &row : report.running) {
-        processReportedRun(state, worker, report, row);
-    }
-    recordPace(*state, worker);
-    const bool complete = report.malformedRows == 0 && report.ended.size() < maximumReportedEnds;
-    if (complete) {
-        resolveUnreportedRuns(state, worker, report);
-        worker->hasReportedAll = true;
-        settleRunsOfEarlierIncarnations(*state, worker);
-    }
-    markOfferChanged(*state, worker);
-    wakeScheduler(*state);
-}
-
 // Returns the cursor up to which the worker may forget ends. A restarted worker that gets a call
 // for its earlier incarnation late would forget its own ends, so no cursor is sent without need.
 std::uint64_t endsToAcknowledge(const tracked_worker &worker)
