tests: Show that what was done on a worker that was given up still counts

Also requires that all jobs of run_once.repeatsNothingWhenReportsAreReadLate complete, so that a leader that does nothing fails it.

--- a/Tests/Unit/run_once_test.cxx
+++ b/Tests/Unit/run_once_test.cxx
@@ -125,6 +125,22 @@
     EXPECT_EQ(group.phase(10), job_phase::completed);
 }
 
+// A worker that was cut off until its runs were given up reports one of them as done.
+TEST(run_once, countsWhatWasDoneOnAWorkerThatWasGivenUp)
+{
+    slow_leader_fleet group(1);
+    group.workers.runDuration = seconds(3);
+    group.submit(10, fleet_group::oneStep(1));
+    group.run(milliseconds(500));
+    ASSERT_EQ(group.workers.starts.size(), 1U);
+    group.workers.at("w0").unreachable = true;
+    group.run(seconds(9));
+    group.workers.at("w0").unreachable = false;
+    group.run(seconds(3));
+    EXPECT_EQ(group.workers.starts.size(), 1U);
+    EXPECT_EQ(group.phase(10), job_phase::completed);
+}
+
 // What a new incarnation has started on a request for the earlier one is not started elsewhere.
 TEST(run_once, keepsWhatANewIncarnationHasStarted)
 {
@@ -215,6 +231,9 @@
     }
     group.run(seconds(10));
     group.expectNothingRepeated("seed " + std::to_string(seed));
+    for (std::uint64_t number = 100; number < job; ++number) {
+        EXPECT_EQ(group.phase(number), job_phase::completed) << "seed " << seed;
+    }
 }
 
 } // namespace
