scheduler: Judge no worker by the pace of its runs

Cause: worker-pace called 40 workers a second slow, the most that the log shows, from before the first fault on; they got one task at a time and came after all others, so that large rooms stayed unused.

--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -16,8 +16,6 @@
 
 // All runs of a worker stall together, so stalls within this time count as one.
 constexpr auto stallWindow = std::chrono::milliseconds(2000);
-// A best-effort run that uses this percentage of its cores runs at full speed.
-constexpr std::uint32_t fullUsePercent = 80;
 
 std::int64_t toMilliseconds(steady_span span)
 {
@@ -283,76 +281,17 @@
 worker_soundness soundnessOf(const tracked_worker &worker)
 {
     worker_soundness soundness = worker.soundness;
-    if (backoffFor(soundness.streak).count() == 0 && !soundness.slowAt) {
+    if (backoffFor(soundness.streak).count() == 0) {
         return soundness;
     }
-    const steady_time since =
-            std::max(worker.backoffStartedAt, soundness.slowAt.value_or(steady_time{}));
     soundness.hasProbe =
-            std::any_of(worker.runs.begin(), worker.runs.end(), [since](const auto &item) {
+            std::any_of(worker.runs.begin(), worker.runs.end(), [&worker](const auto &item) {
                 return !item.second.endPending && !item.second.longRunning
-                       && item.second.startSentAt >= since;
+                       && item.second.startSentAt >= worker.backoffStartedAt;
             });
     return soundness;
 }
 
-namespace {
-
-// Returns how fast a run has advanced since its pace was last known, and begins to measure anew.
-run_pace measurePace(dispatch_state &state, tracked_run &run)
-{
-    const auto job = state.jobs.find(run.key.task.job);
-    if (run.longRunning || run.phase != run_phase::running || job == state.jobs.end()) {
-        return run_pace::unknown;
-    }
-    // The estimates of a single job may be far off.
-    const run_times &seen = state.runTimes[job->second.queue];
-    // A best-effort run without all of its cores is slower for that reason.
-    const bool hasCores = !run.bestEffort
-                          || (run.throttlePercent == 100
-                              && run.recentLoad * 100 >= run.resources.milliCores * fullUsePercent);
-    if (!run.paceFrom && !run.resumed) {
-        run.paceFrom = run.startSentAt;
-    }
-    run_pace pace = run_pace::unknown;
-    if (run.paceFrom && hasCores && isReliable(seen)) {
-        pace = paceOf({std::chrono::duration_cast<std::chrono::milliseconds>(run.reportedAt
-                                                                             - *run.paceFrom),
-                       run.progressPercent - std::min(run.progressPercent, run.paceFromPercent),
-                       expectedRunTime(seen, run.estimate)});
-    }
-    if (!run.paceFrom || !hasCores || pace != run_pace::unknown) {
-        run.paceFrom = run.reportedAt;
-        run.paceFromPercent = run.progressPercent;
-    }
-    return pace;
-}
-
-} // namespace
-
-void recordPace(dispatch_state &state, const tracked_worker_handle &worker)
-{
-    bool anyNormal = false;
-    bool anySlow = false;
-    for (auto &[key, run] : worker->runs) {
-        const run_pace pace = measurePace(state, run);
-        anyNormal = anyNormal || pace == run_pace::normal;
-        anySlow = anySlow || pace == run_pace::slow;
-    }
-    std::optional<steady_time> &slowAt = worker->soundness.slowAt;
-    const bool wasSlow = slowAt.has_value();
-    if (anyNormal) {
-        slowAt.reset();
-    } else if (anySlow) {
-        slowAt = state.context.clock.now();
-    }
-    if (wasSlow != slowAt.has_value()) {
-        markOfferChanged(state, worker);
-        logEvent(log_part::scheduler, "worker-pace",
-                 {{"worker", worker->record.incarnation.id}, {"slow", wasSlow ? "no" : "yes"}});
-    }
-}
-
 void recordLateEnd(dispatch_state &state, const tracked_worker_handle &worker,
                    const reported_end &end)
 {
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -112,9 +112,6 @@
     steady_time startSentAt{};
     // The share of the work that is done.
     std::uint32_t progressPercent = 0;
-    // The pace is measured from this percentage and time on.
-    std::uint32_t paceFromPercent = 0;
-    std::optional<steady_time> paceFrom;
     // When `progressPercent` last changed, and when the worker last reported it.
     steady_time progressedAt{};
     steady_time reportedAt{};
@@ -438,9 +435,6 @@
 // Returns what the runs of a worker have shown of it.
 worker_soundness soundnessOf(const tracked_worker &worker);
 
-// Updates what is known of the speed of a worker from the progress that it has just reported.
-void recordPace(dispatch_state &state, const tracked_worker_handle &worker);
-
 // Updates the failure streak of a worker after one of its runs was done, failed or stalled; may
 // begin a backoff.
 void recordRunHealth(dispatch_state &state, const tracked_worker_handle &worker,
--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -16,19 +16,6 @@
 // many workers are silent, all of their runs are suspects.
 constexpr std::size_t suspectsPerCheck = 100;
 
-// When a larger share of the workers seems slow, one in this many, the times that runs are expected
-// to take are wrong rather than the workers, and moves would only repeat work.
-constexpr std::size_t mostSlowWorkers = 3;
-
-bool areFewWorkersSlow(const dispatch_state &state)
-{
-    const auto slow =
-            std::count_if(state.workers.begin(), state.workers.end(), [](const auto &item) {
-                return item.second->soundness.slowAt.has_value();
-            });
-    return static_cast<std::size_t>(slow) * mostSlowWorkers <= state.workers.size();
-}
-
 bool isActive(const tracked_run &run)
 {
     return (run.phase == run_phase::running || run.phase == run_phase::unconfirmed)
@@ -76,9 +63,7 @@
     // Time in which the worker has reported nothing tells nothing about the progress.
     progress.stalledFor = std::chrono::duration_cast<std::chrono::milliseconds>(run.reportedAt
                                                                                 - run.progressedAt);
-    progress.sinceReport = since(run.reportedAt);
     progress.progressPercent = run.progressPercent;
-    progress.workerIsSlow = worker.soundness.slowAt.has_value();
     progress.estimate = expected;
     progress.workerSilentFor = since(worker.heardAt);
     progress.unconfirmed = run.phase == run_phase::unconfirmed;
@@ -99,7 +84,6 @@
     }
     state->stragglersCheckedAt = now;
     const auto &jobs = state->context.machine.state().jobs;
-    const bool mayBeSlow = areFewWorkersSlow(*state);
     for (const auto &[key, worker] : findSuspects(*state, now)) {
         state->lastSuspect = key;
         ++state->roundSummary.work.suspects;
@@ -114,7 +98,6 @@
         const auto expected = expectedRunTime(
                 state->runTimes[job->second.queueParameters.pathPrefix], run.estimate);
         run_progress progress = progressOf(*worker, run, expected, now);
-        progress.workerIsSlow = progress.workerIsSlow && mayBeSlow;
         const auto tried = step.avoidedWorkers.find(key.task.index);
         progress.triedWorkerCount = tried == step.avoidedWorkers.end()
                                             ? 0
@@ -127,14 +110,12 @@
             logEvent(log_part::scheduler, "run-moved",
                      {{"run", toText(key)},
                       {"worker", worker->record.incarnation.id},
-                      {"why", progress.workerIsSlow ? "slow-worker" : "stands-still"},
+                      {"why", "stands-still"},
                       {"percent", run.progressPercent},
                       {"age_ms", progress.age.count()},
                       {"standing_ms", progress.stalledFor.count()},
                       {"expected_ms", expected.count()}});
-            if (!progress.workerIsSlow) {
-                recordRunHealth(*state, worker, run, run_outcome::stopped, true);
-            }
+            recordRunHealth(*state, worker, run, run_outcome::stopped, true);
             requestStop(state, worker, run);
             continue;
         }
--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -171,7 +171,6 @@
     for (const reported_run &row : report.running) {
         processReportedRun(state, worker, report, row);
     }
-    recordPace(*state, worker);
     const bool complete = report.malformedRows == 0 && report.ended.size() < maximumReportedEnds;
     if (complete) {
         resolveUnreportedRuns(state, worker, report);
--- a/Source/Scheduling/run_progress.cxx
+++ b/Source/Scheduling/run_progress.cxx
@@ -10,10 +10,6 @@
 constexpr auto minimumStall = std::chrono::milliseconds(2300);
 constexpr auto minimumSilence = std::chrono::milliseconds(1300);
 constexpr auto minimumAge = std::chrono::milliseconds(1200);
-// The same for runs on a worker that is known to be slow.
-constexpr auto minimumAgeOnSlowWorker = std::chrono::milliseconds(400);
-// What a move costs beside the new run: the stop, another start and a margin.
-constexpr auto moveOverhead = std::chrono::milliseconds(500);
 // The upper limit for the run time of a task, as a multiple of its estimate.
 constexpr int maximumRunTimeFactor = 20;
 // When a task has stalled on this number of workers, the cause is the task itself.
@@ -29,8 +25,7 @@
 // Returns the total run time, extrapolated from the progress so far.
 std::chrono::milliseconds expectedTotal(const run_progress &run)
 {
-    const auto reportedAge = run.age - run.sinceReport;
-    return run.progressPercent == 0 ? reportedAge * 4 : reportedAge * 100 / run.progressPercent;
+    return run.progressPercent == 0 ? run.age * 4 : run.age * 100 / run.progressPercent;
 }
 
 // Returns true when the run has made no progress for far longer than one percent of its work took.
@@ -45,17 +40,7 @@
 
 bool isStraggler(const run_progress &run)
 {
-    const auto oldEnough = run.workerIsSlow ? minimumAgeOnSlowWorker : minimumAge;
-    return run.age >= oldEnough && expectedTotal(run) > run.estimate * stragglerPercent / 100;
-}
-
-// Returns true when the run is on a slow worker and would end far later than a new one elsewhere.
-bool isFarBehind(const run_progress &run)
-{
-    const int left = 100 - static_cast<int>(std::min(run.progressPercent, 100U));
-    const auto anew = run.checkpoints ? run.estimate * left / 100 : run.estimate;
-    return run.workerIsSlow && isStraggler(run)
-           && expectedTotal(run) * left / 100 > anew * 3 / 2 + moveOverhead;
+    return run.age >= minimumAge && expectedTotal(run) > run.estimate * stragglerPercent / 100;
 }
 
 } // namespace
@@ -66,11 +51,9 @@
         return true;
     }
     if (run.allowsSpeculativeCopies) {
-        return run.age < (run.workerIsSlow ? minimumAgeOnSlowWorker : minimumAge)
-               && run.workerSilentFor < minimumSilence && !run.unconfirmed;
+        return run.age < minimumAge && run.workerSilentFor < minimumSilence && !run.unconfirmed;
     }
-    return run.throttledByScheduler
-           || (!run.workerIsSlow && (run.age < minimumAge || run.stalledFor < minimumStall));
+    return run.throttledByScheduler || run.age < minimumAge || run.stalledFor < minimumStall;
 }
 
 run_action decideRunAction(const run_progress &run)
@@ -92,8 +75,7 @@
     // A run cannot be stopped on a silent worker, which does not respond to requests.
     const bool canMove = run.workerSilentFor < minimumSilence && !run.unconfirmed
                          && run.triedWorkerCount < maximumTriedWorkers;
-    const bool behind = !run.throttledByScheduler && isFarBehind(run);
-    return (stalled || behind) && canMove ? run_action::move : run_action::keep;
+    return stalled && canMove ? run_action::move : run_action::keep;
 }
 
 std::chrono::milliseconds backoffFor(const worker_failure_streak &health)
--- a/Source/Scheduling/run_progress.h
+++ b/Source/Scheduling/run_progress.h
@@ -10,8 +10,6 @@
 {
     // Time since the start was confirmed.
     std::chrono::milliseconds age{0};
-    // Time since the worker last reported the completed percentage.
-    std::chrono::milliseconds sinceReport{0};
     // Time since the completed percentage last increased.
     std::chrono::milliseconds stalledFor{0};
     // The percentage of the work that is done.
@@ -33,8 +31,6 @@
     bool survivedStart = true;
     // Workers have crashed under the task before.
     bool isSuspect = false;
-    // None of the worker's runs advances at its expected pace.
-    bool workerIsSlow = false;
 };
 
 enum class run_action : std::uint8_t {
@@ -51,9 +47,8 @@
 // or slow down. A run that is expected to end far later than a new run elsewhere gets a speculative
 // copy where the task allows copies. A worker that has not reported a run for long after its start
 // may have been crashed by it, so that the copy is a trial; a task under which a worker has crashed
-// before gets none then. Other runs are moved when they are stalled, or when their worker is slow
-// and they need far longer there than a new run elsewhere would take; a slow run on another worker
-// is kept, because its task may be a long one.
+// before gets none then. Other runs are moved, but only when they are stalled, because a slow run
+// that makes progress loses nothing.
 run_action decideRunAction(const run_progress &run);
 
 // Returns true when decideRunAction() certainly returns `keep`. Needs neither the estimate nor the
