--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -140,29 +140,20 @@
 }
 
 // Keeps the resources of a task from all that is placed later in the round, on the worker where
-// they are expected to be free soonest; false when there is none. The choice lasts for some rounds.
-// Counts the task in `runsPerWorker`.
+// they are expected to be free soonest; false when there is none. Each round chooses anew. Counts
+// the task in `runsPerWorker`.
 bool holdRoom(const dispatch_handle &state, round_offers &round, const ready_step &ready,
               std::uint32_t index, std::map<worker_incarnation, std::uint32_t> &runsPerWorker)
 {
     placement_request request = makeRequest(*state, ready, index);
     request.runsPerWorker = &runsPerWorker;
-    const task_key task{ready.job, ready.occurrence, ready.step, index};
-    const auto earlier = round.heldRooms.find(task);
-    int chosen = -1;
-    if (earlier != round.heldRooms.end()
-        && mayBeHeld(round.offers[earlier->second.offer], request)) {
-        chosen = static_cast<int>(earlier->second.offer);
-    } else {
+    int chosen = chooseToHold(*state, round, round.offers, request);
+    if (chosen < 0 && request.avoidedWorkers != nullptr) {
+        request.avoidedWorkers = nullptr;
         chosen = chooseToHold(*state, round, round.offers, request);
-        if (chosen < 0 && request.avoidedWorkers != nullptr) {
-            request.avoidedWorkers = nullptr;
-            chosen = chooseToHold(*state, round, round.offers, request);
-        }
-        if (chosen < 0) {
-            return false;
-        }
-        round.heldRooms[task] = {static_cast<std::size_t>(chosen), state->context.clock.now()};
+    }
+    if (chosen < 0) {
+        return false;
     }
     worker_offer &offer = round.offers[static_cast<std::size_t>(chosen)];
     reserveResources(offer, request);
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -14,9 +14,6 @@
 constexpr auto unchangedUpdateInterval = std::chrono::milliseconds(400);
 constexpr std::size_t fewestUnchangedPerRound = 20;
 
-// For so long room is held for a task on the same worker; then it is chosen anew.
-constexpr auto heldRoomLifetime = std::chrono::milliseconds(200);
-
 // Returns the number of unchanged workers whose offers the round updates.
 std::size_t countUnchangedDue(const round_offers &round, steady_time now)
 {
@@ -184,9 +181,6 @@
     round.mostlyIdle = round.usedMilliCores * 2 < round.capacityMilliCores;
     round.rejected.clear();
     round.releases.clear();
-    std::erase_if(round.heldRooms, [now](const auto &one) {
-        return now - one.second.chosenAt >= heldRoomLifetime;
-    });
     round.held = 0;
     round.heldFirstRuns = 0;
 }
--- a/Source/Dispatch/worker_offers.h
+++ b/Source/Dispatch/worker_offers.h
@@ -53,14 +53,6 @@
     // Follows the changes of the offers from round to round.
     offer_index index;
 
-    // Where room was held for a task, and when that was chosen.
-    struct held_room
-    {
-        std::size_t offer = 0;
-        steady_time chosenAt{};
-    };
-    std::map<task_key, held_room> heldRooms;
-
     // Valid for one round.
     //
     // Less than half of the cores are in use by runs that are not best-effort.
--- a/Source/Scheduling/room_forecast.cxx
+++ b/Source/Scheduling/room_forecast.cxx
@@ -69,7 +69,11 @@
 {
     std::vector<std::size_t> candidates;
     for (std::size_t at = 0; at < offers.size(); ++at) {
-        if (mayBeHeld(offers[at], request)) {
+        // The cores of long-running tasks are not released.
+        const worker_offer &offer = offers[at];
+        const bool canBeFree = offer.longRunningMilliCores + request.step->resources.milliCores
+                               <= offer.record->capacity.milliCores;
+        if (canBeFree && meetsConstraints(offer, request)) {
             candidates.push_back(at);
         }
     }
@@ -92,14 +96,6 @@
 
 } // namespace
 
-bool mayBeHeld(const worker_offer &offer, const placement_request &request)
-{
-    // The cores of long-running tasks are not released.
-    return offer.longRunningMilliCores + request.step->resources.milliCores
-                   <= offer.record->capacity.milliCores
-           && meetsConstraints(offer, request);
-}
-
 int chooseOfferToHold(const std::vector<worker_offer> &offers, const release_source &releasesOf,
                       const placement_request &request)
 {
--- a/Source/Scheduling/room_forecast.h
+++ b/Source/Scheduling/room_forecast.h
@@ -32,9 +32,6 @@
 // times.
 using release_source = std::function<const std::vector<expected_release> &(std::size_t)>;
 
-// Returns true when nothing but resources that will be released keeps the task from the offer.
-bool mayBeHeld(const worker_offer &offer, const placement_request &request);
-
 // Returns the index of the offer on which a task that fits nowhere is expected to fit soonest, if
 // nothing else is placed there; -1 when there is none. With more than 512 workers it looks only at
 // the 64 that lack the least.
