rounds: Place the most urgent step in each round, however slow the host is

The last rounds log "ended=done:0,budget:6 placed=0 most_steps_left=1983", with 407 of 436 ms spent on collecting the steps.

Cause: the budget of a round counted what comes before placing. Once collecting the ready steps took over 20 ms, each round ended before its first step, and as nothing was placed, the steps to collect stayed as many. The state kept itself going; it depends on the speed of the host and on the number of waiting jobs only.

Change: endOfRound() decides, from plain figures. A round tries one step at least and may place for as long as its preparation took; in the calm the whole round ends after 20 ms as before.

The fake clock can charge each reading, which stands for a process with little processor time.

--- a/Source/Dispatch/round_work.h
+++ b/Source/Dispatch/round_work.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "Common/clock_source.h"
 
@@ -59,6 +60,21 @@
     steady_time partSince{};
 };
 
+// How far a round has come.
+struct round_progress
+{
+    // The time until it began to place tasks, and the time since then.
+    steady_span prepared{0};
+    steady_span placing{0};
+    std::size_t stepsTried = 0;
+    std::size_t starts = 0;
+};
+
+// Returns why a round places no more steps; nothing when it goes on. Each round tries at least its
+// most urgent step, and may place tasks for as long as it was prepared: a process that prepares
+// rounds slowly would otherwise never start a task.
+std::optional<round_end> endOfRound(const round_progress &progress);
+
 // Ends the present part and begins another one; returns the part that has ended.
 round_part enterPart(round_work &work, round_part part, steady_time now);
 
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -37,12 +37,6 @@
 constexpr auto estimateLifetime = std::chrono::milliseconds(100);
 // How often leases and silence of all workers are checked.
 constexpr auto workerCheckInterval = std::chrono::milliseconds(50);
-// A round that has placed so many tasks ends. Sending their start requests must not delay lease
-// renewals and heartbeats for long.
-constexpr std::size_t maximumStartsPerRound = 200;
-// A round that has looked for workers for so long ends; the most urgent steps come first in the
-// next one.
-constexpr auto roundBudget = std::chrono::milliseconds(20);
 
 bool dependenciesMet(const job_step &step, const std::vector<tracked_step> &steps)
 {
@@ -241,21 +235,21 @@
     round_work &work = state->roundSummary.work;
     work.stepsReady += ready.size();
     round_end end = round_end::done;
-    std::uint64_t tried = 0;
+    const steady_time placingBegin = state->context.clock.now();
+    round_progress progress{placingBegin - roundBegin};
     for (const ready_step &one : ready) {
-        if (started.runs.size() >= maximumStartsPerRound) {
-            end = round_end::starts;
+        progress.placing = state->context.clock.now() - placingBegin;
+        progress.starts = started.runs.size();
+        if (const auto reached = endOfRound(progress)) {
+            end = *reached;
             break;
         }
-        if (state->context.clock.now() - roundBegin > roundBudget) {
-            end = round_end::budget;
-            break;
-        }
-        ++tried;
+        ++progress.stepsTried;
         placeStep(state, round, one, started);
     }
-    work.stepsTried += tried;
-    work.mostStepsLeft = std::max<std::uint64_t>(work.mostStepsLeft, ready.size() - tried);
+    work.stepsTried += progress.stepsTried;
+    work.mostStepsLeft =
+            std::max<std::uint64_t>(work.mostStepsLeft, ready.size() - progress.stepsTried);
     ++work.ends[static_cast<std::size_t>(end)];
     return end;
 }
--- a/Tests/Fakes/fake_clock.cxx
+++ b/Tests/Fakes/fake_clock.cxx
@@ -56,7 +56,7 @@
 
 steady_time fake_clock::now() const
 {
-    return m_now;
+    return m_now += readCost;
 }
 
 std::chrono::system_clock::time_point fake_clock::wallTime() const
@@ -90,7 +90,7 @@
         timer->expire();
         runReady();
     }
-    m_now = end;
+    m_now = std::max(m_now, end);
     runReady();
 }
 
--- a/Tests/Fakes/fake_clock.h
+++ b/Tests/Fakes/fake_clock.h
@@ -23,6 +23,9 @@
         return readWorkTime ? readWorkTime() : m_now.time_since_epoch();
     }
 
+    // The time that each reading of the clock takes, as in a process that gets little processor
+    // time.
+    steady_span readCost{0};
     // The source of workTime() when it is set.
     std::function<steady_span()> readWorkTime;
     // Advances the time from one expiring timer to the next and runs all ready handlers at each
@@ -40,7 +43,7 @@
     class fake_timer;
 
     boost::asio::io_context &m_context;
-    steady_time m_now{std::chrono::hours(1)};
+    mutable steady_time m_now{std::chrono::hours(1)};
     std::set<std::pair<steady_time, fake_timer *>> m_timers;
 };
 
