benchmarks: Let the leader benchmark share workers with best-effort jobs

It played short jobs beside standing tasks only, while most starts of a large service are of wide best-effort steps beside tasks with a target for their tail latency. `leader_benchmark 1800 4 shared` plays these, and prints how many offers the rounds made and scored.

--- a/Tests/Benchmark/leader_benchmark.cxx
+++ b/Tests/Benchmark/leader_benchmark.cxx
@@ -227,6 +227,12 @@
     }
 };
 
+// The tail latency in milliseconds that a standing task reports.
+std::uint32_t tailLatencyOf(const run_key &key)
+{
+    return static_cast<std::uint32_t>(20 + (key.task.job * 7 + key.task.index) % 20);
+}
+
 class plain_client final : public worker_client
 {
 public:
@@ -275,7 +281,7 @@
         for (const plain_run &run : worker.running) {
             report.running.push_back(
                     {run.key, run.saves ? "saved" + std::to_string(m_fleet.now.count() / 1000) : "",
-                     50, 900});
+                     run.saves ? 100U : 50U, run.saves ? tailLatencyOf(run.key) : 900U});
         }
         ++m_fleet.renewals;
         m_fleet.rows += report.running.size() + report.ended.size();
@@ -471,6 +477,10 @@
     {
         std::map<std::string, std::uint64_t> values;
         metrics_registry &metrics = m_group.leader().metricsRegistry;
+        for (const char *what : {"offers_updated", "rankings", "offers_scored", "scans_for_task"}) {
+            const std::string name = std::string("mango_round_work_total{what=\"") + what + "\"}";
+            values[name] = metrics.at(name);
+        }
         for (const char *kind : {"rounds", "reports", "sends", "answers", "appends", "applies",
                                  "served", "snapshots"}) {
             const std::string label = std::string("{kind=\"") + kind + "\"}";
@@ -492,20 +502,26 @@
 
 } // namespace
 
-// Usage: leader_benchmark [workers [seconds]]. Plays the standing tasks and the turnover of a large
-// service, and prints the processor time of the leader by kind of work. Times of work in metrics
-// are exported once a second, so that the kinds are a second late.
+// Usage: leader_benchmark [workers [seconds [shared]]]. Plays the standing tasks and the turnover
+// of a large service, and prints the processor time of the leader by kind of work. With `shared`
+// the standing tasks have targets for their tail latency, and the large jobs are best-effort. Times
+// of work in metrics are exported once a second, so that the kinds are a second late.
 int main(int argc, char **argv)
 {
     startLogging("error");
     const std::size_t workers = argc > 1 ? std::stoul(argv[1]) : 1800;
     const int span = argc > 2 ? std::stoi(argv[2]) : 4;
+    const bool isShared = argc > 3 && std::string(argv[3]) == "shared";
     control_group group(workers);
     const std::size_t scale = workers / 18;
     // Standing tasks; a duration of 0 means that they last.
     for (std::size_t number = 0; number < scale * 5; ++number) {
         job_graph graph = graphOf(1, 24, 1000, milliseconds(0));
         graph.steps[0].longRunning = true;
+        if (isShared) {
+            graph.steps[0].image = "service-" + std::to_string(number % 16);
+            graph.steps[0].tailLatencyTarget = milliseconds(50);
+        }
         group.submit(graph);
         if (number % 10 == 9) {
             group.run(milliseconds(50));
@@ -523,7 +539,13 @@
             largeDue += 0.3 * static_cast<double>(scale) / partsPerSecond;
             smallDue += 0.165 * static_cast<double>(scale) / partsPerSecond;
             for (; largeDue >= 1; largeDue -= 1) {
-                group.submit(graphOf(2, 40, 3500, milliseconds(2700)));
+                job_graph graph =
+                        graphOf(2, 40, 2500 + group.nextJob % 40 * 50, milliseconds(2700));
+                for (job_step &step : graph.steps) {
+                    step.bestEffort = isShared;
+                    step.image = isShared ? "batch-" + std::to_string(group.nextJob % 30) : "";
+                }
+                group.submit(graph);
             }
             for (; smallDue >= 1; smallDue -= 1) {
                 group.submit(graphOf(2, 13, 9800, milliseconds(1000)));
