rounds: Score offers without a look at the worker's record

Callers of urgent work waited while a round ranked about 1,000 offers for each wide best-effort step: two thirds of the time of scoreOffer() went to loads of the worker's record, most of the rest to look-ups of pressures by pair of images.

The tree of the offer index already holds what the record decides. Rankings and choices from the index now take free resources and the score from it, and the pressures of the step's image are listed once for each choice.

The new test offer_index.ranksAsALookAtAllOffersDoes compares the choices of a ranking from the index with those of a look at all offers; it guards the change and tests no fault of the code before.

--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -353,7 +353,7 @@
         return trialCandidateOf(*state, *round.workers[at]);
     };
     // On a full service it is quick to tell that no worker has room.
-    if (offersWithRoom(round.index, round.offers, request).empty()) {
+    if (!isRoomFor(round.index, round.offers, request)) {
         return false;
     }
     ++state->roundSummary.work.scansForTrial;
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -87,6 +87,7 @@
     return other.record == nullptr || one.unavailable != other.unavailable
            || one.inBackoff != other.inBackoff || !(one.used == other.used)
            || one.longRunningMilliCores != other.longRunningMilliCores
+           || one.latencyCritical.empty() != other.latencyCritical.empty()
            || one.urgentCost != other.urgentCost || one.otherCost != other.otherCost
            || one.retryCost != other.retryCost
            || (!one.unavailable && reclaimableMilliCores(one) != reclaimableMilliCores(other));
--- a/Source/Scheduling/image_interference.cxx
+++ b/Source/Scheduling/image_interference.cxx
@@ -159,6 +159,37 @@
     return {throttle_action::keep, task.throttlePercent};
 }
 
+// Returns whether the tasks can bear one more that uses the share, by the pressure on an image.
+template<class PressureOn>
+bool canBear(const std::vector<latency_critical_task> &latencyCritical, double share,
+             PressureOn pressureOn)
+{
+    return std::all_of(
+            latencyCritical.begin(), latencyCritical.end(), [&](const latency_critical_task &task) {
+                return task.addedLoad + pressureOn(task.image) * share <= headroomOf(task);
+            });
+}
+
+// Returns the largest fraction of a headroom that the share uses, by the pressure on an image.
+template<class PressureOn>
+double largestFraction(const std::vector<latency_critical_task> &latencyCritical, double share,
+                       PressureOn pressureOn)
+{
+    double maximum = 0;
+    for (const latency_critical_task &task : latencyCritical) {
+        const double headroom =
+                std::max(task.loadLimit - task.load - task.addedLoad, minimumHeadroom);
+        maximum = std::max(maximum, pressureOn(task.image) * share / headroom);
+    }
+    return std::min(maximum, 1.0);
+}
+
+double pressureOn(const image_pressures &pressures, image_id latencyCritical)
+{
+    return latencyCritical < pressures.values.size() ? pressures.values[latencyCritical]
+                                                     : pressures.prior;
+}
+
 } // namespace
 
 image_id imageId(interference_model &model, const std::string &name)
@@ -234,28 +265,51 @@
     }
 }
 
+image_pressures pressuresOf(const interference_model &model, image_id bestEffort)
+{
+    image_pressures pressures;
+    pressures.prior = pressureOf(pressure_estimate{}, bestEffort).mean;
+    if (!model.pressures.empty()) {
+        pressures.values.assign(model.pressures.rbegin()->first + 1, pressures.prior);
+    }
+    for (const auto &[latencyCritical, estimate] : model.pressures) {
+        pressures.values[latencyCritical] = pressureOf(estimate, bestEffort).mean;
+    }
+    return pressures;
+}
+
 bool canColocate(const interference_model &model,
                  const std::vector<latency_critical_task> &latencyCritical, image_id image,
                  double share)
 {
-    return std::all_of(latencyCritical.begin(), latencyCritical.end(),
-                       [&](const latency_critical_task &task) {
-                           return task.addedLoad + pressureOf(model, task.image, image) * share
-                                  <= headroomOf(task);
-                       });
+    return canBear(latencyCritical, share, [&](image_id on) {
+        return pressureOf(model, on, image);
+    });
+}
+
+bool canColocate(const image_pressures &pressures,
+                 const std::vector<latency_critical_task> &latencyCritical, double share)
+{
+    return canBear(latencyCritical, share, [&](image_id on) {
+        return pressureOn(pressures, on);
+    });
 }
 
 double headroomFraction(const interference_model &model,
                         const std::vector<latency_critical_task> &latencyCritical, image_id image,
                         double share)
 {
-    double maximum = 0;
-    for (const latency_critical_task &task : latencyCritical) {
-        const double headroom =
-                std::max(task.loadLimit - task.load - task.addedLoad, minimumHeadroom);
-        maximum = std::max(maximum, pressureOf(model, task.image, image) * share / headroom);
-    }
-    return std::min(maximum, 1.0);
+    return largestFraction(latencyCritical, share, [&](image_id on) {
+        return pressureOf(model, on, image);
+    });
+}
+
+double headroomFraction(const image_pressures &pressures,
+                        const std::vector<latency_critical_task> &latencyCritical, double share)
+{
+    return largestFraction(latencyCritical, share, [&](image_id on) {
+        return pressureOn(pressures, on);
+    });
 }
 
 std::vector<throttle_decision>
--- a/Source/Scheduling/image_interference.h
+++ b/Source/Scheduling/image_interference.h
@@ -114,17 +114,32 @@
                   const std::vector<best_effort_task> &bestEffort, steady_time now,
                   std::chrono::milliseconds horizon);
 
+// The expected pressures of one best-effort image on all others, for many workers in a row.
+struct image_pressures
+{
+    // By latency-critical image; those beyond the end have the prior.
+    std::vector<double> values;
+    double prior = 0;
+};
+
+// Returns the pressures of the image as pressureOf() does.
+image_pressures pressuresOf(const interference_model &model, image_id bestEffort);
+
 // Returns true when a task of the image can use the given share of the worker without any of the
 // latency-critical tasks exceeding its bound. Call predictLoads() first.
 bool canColocate(const interference_model &model,
                  const std::vector<latency_critical_task> &latencyCritical, image_id image,
                  double share);
+bool canColocate(const image_pressures &pressures,
+                 const std::vector<latency_critical_task> &latencyCritical, double share);
 
 // Returns the largest fraction, from 0 to 1, that a task of the image would use of the headroom of
 // any of the latency-critical tasks. Call predictLoads() first.
 double headroomFraction(const interference_model &model,
                         const std::vector<latency_critical_task> &latencyCritical, image_id image,
                         double share);
+double headroomFraction(const image_pressures &pressures,
+                        const std::vector<latency_critical_task> &latencyCritical, double share);
 
 enum class throttle_action : std::uint8_t { keep, change, evict };
 
--- a/Source/Scheduling/offer_index.cxx
+++ b/Source/Scheduling/offer_index.cxx
@@ -117,6 +117,12 @@
     return step.bestEffort ? capacity.bestEffortScore : capacity.shortTaskScore;
 }
 
+offer_with_room withRoom(const worker_offer &offer, std::size_t at, const free_capacity &capacity,
+                         const job_step &step)
+{
+    return {at, mostScore(capacity, step), capacity.milliCores + offer.used.milliCores};
+}
+
 // A node of the tree, with the first offer below it.
 struct tree_place
 {
@@ -141,7 +147,7 @@
             continue;
         }
         if (place.size == 1) {
-            visit(place.first);
+            visit(capacity, place.first);
             continue;
         }
         const std::size_t half = place.size / 2;
@@ -172,19 +178,37 @@
     index.firstChange = 0;
 }
 
-std::vector<std::size_t> offersWithRoom(offer_index &index, const std::vector<worker_offer> &offers,
-                                        const placement_request &request)
+std::vector<offer_with_room> offersWithRoom(offer_index &index,
+                                            const std::vector<worker_offer> &offers,
+                                            const placement_request &request)
+{
+    std::vector<offer_with_room> found;
+    const capacity_tree &tree = treeFor(index, offers, request);
+    if (!hasRoom(tree.nodes[1], *request.step)) {
+        return found;
+    }
+    found.reserve(offers.size());
+    for (std::size_t at = 0; at < offers.size(); ++at) {
+        const free_capacity &capacity = tree.nodes[tree.leaves + at];
+        if (hasRoom(capacity, *request.step)) {
+            found.push_back(withRoom(offers[at], at, capacity, *request.step));
+        }
+    }
+    return found;
+}
+
+bool isRoomFor(offer_index &index, const std::vector<worker_offer> &offers,
+               const placement_request &request)
 {
-    std::vector<std::size_t> found;
+    bool found = false;
     visitOffersWithRoom(
             treeFor(index, offers, request), *request.step,
-            [](const free_capacity &, std::size_t) {
-                return true;
+            [&](const free_capacity &, std::size_t) {
+                return !found;
             },
-            [&](std::size_t at) {
-                found.push_back(at);
+            [&](const free_capacity &, std::size_t) {
+                found = true;
             });
-    std::sort(found.begin(), found.end());
     return found;
 }
 
@@ -193,6 +217,7 @@
 {
     offer_choice best;
     std::int64_t bestScore = 0;
+    const image_pressures pressures = pressuresFor(request);
     const auto precedesBest = [&](std::int64_t score, std::size_t at) {
         return best.index < 0 || score > bestScore
                || (score == bestScore && at < static_cast<std::size_t>(best.index));
@@ -202,9 +227,11 @@
             [&](const free_capacity &capacity, std::size_t first) {
                 return precedesBest(mostScore(capacity, *request.step), first);
             },
-            [&](std::size_t at) {
+            [&](const free_capacity &capacity, std::size_t at) {
                 ++index.offersScored;
-                const scored_offer scored = scoreOffer(offers[at], request);
+                const scored_offer scored = scoreOfferWithRoom(
+                        offers[at], withRoom(offers[at], at, capacity, *request.step), request,
+                        pressures);
                 best.excludedByRuns += scored.excludedByRuns ? 1 : 0;
                 if (!scored.fits) {
                     return;
--- a/Source/Scheduling/offer_index.h
+++ b/Source/Scheduling/offer_index.h
@@ -64,10 +64,15 @@
 // Tells the index that all offers have changed.
 void noteAllOffersChanged(offer_index &index);
 
-// Returns the indexes of the offers that have enough free resources for one more task of the step,
-// in ascending order. Other constraints may keep the task from them.
-std::vector<std::size_t> offersWithRoom(offer_index &index, const std::vector<worker_offer> &offers,
-                                        const placement_request &request);
+// Returns the offers that have enough free resources for one more task of the step. Interference
+// and earlier runs may keep the task from them.
+std::vector<offer_with_room> offersWithRoom(offer_index &index,
+                                            const std::vector<worker_offer> &offers,
+                                            const placement_request &request);
+
+// Returns true when some offer has enough free resources for one more task of the step.
+bool isRoomFor(offer_index &index, const std::vector<worker_offer> &offers,
+               const placement_request &request);
 
 // Makes the same choice as chooseOffer(). Unless the task is long-running, it looks only at offers
 // that may be better than the best one found so far, and counts only these as candidates.
--- a/Source/Scheduling/offer_ranking.cxx
+++ b/Source/Scheduling/offer_ranking.cxx
@@ -1,7 +1,6 @@
 #include "Scheduling/offer_ranking.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace mango {
 
@@ -12,25 +11,36 @@
     return one.score != other.score ? one.score < other.score : one.index > other.index;
 }
 
+void addScored(offer_ranking &ranking, const scored_offer &scored, std::size_t at)
+{
+    ranking.excludedByRuns += scored.excludedByRuns ? 1 : 0;
+    if (scored.fits) {
+        ranking.entries.push_back({scored.score, at});
+    }
+}
+
 } // namespace
 
 offer_ranking rankOffers(const std::vector<worker_offer> &offers, const placement_request &request)
 {
-    std::vector<std::size_t> all(offers.size());
-    std::iota(all.begin(), all.end(), 0);
-    return rankOffers(offers, all, request);
+    offer_ranking ranking;
+    for (std::size_t at = 0; at < offers.size(); ++at) {
+        addScored(ranking, scoreOffer(offers[at], request), at);
+    }
+    std::make_heap(ranking.entries.begin(), ranking.entries.end(), isWorse);
+    return ranking;
 }
 
 offer_ranking rankOffers(const std::vector<worker_offer> &offers,
-                         const std::vector<std::size_t> &withRoom, const placement_request &request)
+                         const std::vector<offer_with_room> &withRoom,
+                         const placement_request &request)
 {
     offer_ranking ranking;
-    for (const std::size_t at : withRoom) {
-        const scored_offer scored = scoreOffer(offers[at], request);
-        ranking.excludedByRuns += scored.excludedByRuns ? 1 : 0;
-        if (scored.fits) {
-            ranking.entries.push_back({scored.score, at});
-        }
+    ranking.entries.reserve(withRoom.size());
+    const image_pressures pressures = pressuresFor(request);
+    for (const offer_with_room &known : withRoom) {
+        addScored(ranking, scoreOfferWithRoom(offers[known.index], known, request, pressures),
+                  known.index);
     }
     std::make_heap(ranking.entries.begin(), ranking.entries.end(), isWorse);
     return ranking;
@@ -61,9 +71,8 @@
                  const placement_request &request, std::size_t index)
 {
     const scored_offer scored = scoreOffer(offers[index], request);
-    ranking.excludedByRuns += scored.excludedByRuns ? 1 : 0;
+    addScored(ranking, scored, index);
     if (scored.fits) {
-        ranking.entries.push_back({scored.score, index});
         std::push_heap(ranking.entries.begin(), ranking.entries.end(), isWorse);
     }
 }
--- a/Source/Scheduling/offer_ranking.h
+++ b/Source/Scheduling/offer_ranking.h
@@ -24,9 +24,9 @@
 // Ranks the offers that fit the request, which must not exclude workers for a single task.
 offer_ranking rankOffers(const std::vector<worker_offer> &offers, const placement_request &request);
 
-// Returns the same from the indexes of the offers that have enough free resources.
+// Returns the same from the offers that have enough free resources.
 offer_ranking rankOffers(const std::vector<worker_offer> &offers,
-                         const std::vector<std::size_t> &withRoom,
+                         const std::vector<offer_with_room> &withRoom,
                          const placement_request &request);
 
 // Takes the best offer out of the ranking and returns its index; -1 when no offer fits. The choice
--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -8,6 +8,9 @@
 
 // The average use of long-running tasks, in percent of the peak that they request.
 constexpr std::int64_t longRunningUsePercent = 60;
+// The cost of an offer where a best-effort task would use all headroom of a latency-critical task.
+// It keeps workers without such tasks for best-effort tasks with a high pressure.
+constexpr double headroomCost = 60'000;
 
 std::uint32_t countAt(const std::map<std::string, std::uint32_t> &counts, const std::string &key)
 {
@@ -62,8 +65,6 @@
     const worker_record &record = *offer.record;
     const job_step &step = *request.step;
     if (step.bestEffort) {
-        // Keep workers without latency-critical tasks for best-effort tasks with a high pressure.
-        constexpr double headroomCost = 60'000;
         return mostBestEffortScore(offer, step.dataRack)
                - static_cast<std::int64_t>(headroomFraction(*request.interference,
                                                             offer.latencyCritical, request.image,
@@ -227,6 +228,38 @@
     return scored;
 }
 
+scored_offer scoreOfferWithRoom(const worker_offer &offer, const offer_with_room &known,
+                                const placement_request &request, const image_pressures &pressures)
+{
+    const job_step &step = *request.step;
+    if (step.longRunning) {
+        return scoreOffer(offer, request);
+    }
+    scored_offer scored;
+    const double share = step.resources.milliCores
+                         / static_cast<double>(std::max<std::int64_t>(1, known.workerMilliCores));
+    if (step.bestEffort && !request.starved
+        && !canColocate(pressures, offer.latencyCritical, share)) {
+        return scored;
+    }
+    if (request.avoidedWorkers != nullptr || step.perWorkerLimit > 0) {
+        scored.excludedByRuns = findRunObstacle(offer, request) != placement_obstacle::none;
+    }
+    scored.fits = !scored.excludedByRuns;
+    scored.score = known.mostScore;
+    if (scored.fits && step.bestEffort) {
+        const double fraction = headroomFraction(pressures, offer.latencyCritical, share);
+        scored.score -= static_cast<std::int64_t>(fraction * headroomCost);
+    }
+    return scored;
+}
+
+image_pressures pressuresFor(const placement_request &request)
+{
+    return request.step->bestEffort ? pressuresOf(*request.interference, request.image)
+                                    : image_pressures{};
+}
+
 offer_choice chooseOffer(const std::vector<worker_offer> &offers, const placement_request &request)
 {
     offer_choice best;
--- a/Source/Scheduling/run_placement.h
+++ b/Source/Scheduling/run_placement.h
@@ -109,6 +109,24 @@
 // Returns how well the offer suits one more task of the step.
 scored_offer scoreOffer(const worker_offer &offer, const placement_request &request);
 
+// What a short or best-effort task needs to know of an offer that has enough free resources, and
+// whose worker has the service and the label and is available.
+struct offer_with_room
+{
+    std::size_t index = 0;
+    // The score for a short task, or the highest one for a best-effort task.
+    std::int64_t mostScore = 0;
+    std::int64_t workerMilliCores = 0;
+};
+
+// Returns the same as scoreOffer() without a look at the record of the worker, unless the step is
+// long-running or earlier runs matter. `pressures` are those of the image of the request.
+scored_offer scoreOfferWithRoom(const worker_offer &offer, const offer_with_room &known,
+                                const placement_request &request, const image_pressures &pressures);
+
+// Returns the pressures that scores for the request depend on; none unless it is best-effort.
+image_pressures pressuresFor(const placement_request &request);
+
 // Returns the number of workers by obstacle.
 std::array<std::uint32_t, placementObstacleCount>
 countObstacles(const std::vector<worker_offer> &offers, const placement_request &request);
--- a/Tests/Unit/offer_index_test.cxx
+++ b/Tests/Unit/offer_index_test.cxx
@@ -2,6 +2,7 @@
 
 #include "Common/random_source.h"
 #include "Scheduling/offer_index.h"
+#include "Scheduling/offer_ranking.h"
 
 namespace mango::test {
 
@@ -145,6 +146,58 @@
     EXPECT_GT(unplaced, 1000);
 }
 
+// Guards against wide steps that place their tasks elsewhere than single tasks would go.
+TEST(offer_index, ranksAsALookAtAllOffersDoes)
+{
+    int chosen = 0;
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        seeded_random random(seed);
+        indexed_fleet fleet(random, 1 + random.below(70));
+        const interference_model model = drawModel(random);
+        const std::string service = "desk";
+        offer_index index;
+        for (int number = 0; number < 20; ++number) {
+            const job_step step = drawStep(random);
+            std::map<worker_incarnation, std::uint32_t> runsPerWorker;
+            std::map<std::string, std::uint32_t> runsPerDomain;
+            placement_request request{&step,
+                                      &service,
+                                      &runsPerWorker,
+                                      &runsPerDomain,
+                                      nullptr,
+                                      &model,
+                                      static_cast<image_id>(step.longRunning
+                                                                    ? 1 + random.below(3)
+                                                                    : 4 + random.below(4))};
+            request.urgent = random.below(2) == 0;
+            offer_ranking ranking =
+                    rankOffers(fleet.offers, offersWithRoom(index, fleet.offers, request), request);
+            ASSERT_EQ(isRoomFor(index, fleet.offers, request),
+                      !offersWithRoom(index, fleet.offers, request).empty());
+            for (int task = 0; task < 10; ++task) {
+                const offer_choice expected = chooseOffer(fleet.offers, request);
+                ASSERT_EQ(ranking.excludedByRuns, expected.excludedByRuns) << "seed " << seed;
+                const int found = takeBestOffer(ranking, fleet.offers, request);
+                ASSERT_EQ(found, expected.index) << "seed " << seed << ", step " << number;
+                if (found < 0) {
+                    break;
+                }
+                ++chosen;
+                const auto at = static_cast<std::size_t>(found);
+                reserveResources(fleet.offers[at], request);
+                noteOfferChange(index, at);
+                ++runsPerWorker[fleet.records[at].incarnation];
+                ++runsPerDomain[fleet.records[at].failureDomain];
+                returnOffer(ranking, fleet.offers, request, at);
+            }
+            const std::size_t changed = random.below(fleet.offers.size());
+            fleet.change(random, changed);
+            noteOfferChange(index, changed);
+        }
+    }
+    EXPECT_GT(chosen, 4000);
+}
+
 // Guards against a large service on which each task costs a look at every worker.
 TEST(offer_index, looksAtFewOffersOfALargeFleet)
 {
