rpc: Wait for responses without a timer for each call

Callers saw: a leader of 1,800 workers spends a third of its second outside all kinds of work that are measured.

Cause: each of its 7,000 calls a second made a timer, put it into the heap of the event loop, took it out for the response and went through a turn of the loop to resume. Nearly no call reaches the end of its wait.

Change: the calls of a client stand in one table with what resumes each; a response resumes its caller at once, and one timer of the client watches the earliest deadline. The message is no longer copied into the call. When a call fails, why, and when its connection is closed stay as they were.

--- a/Source/Wire/rpc.cxx
+++ b/Source/Wire/rpc.cxx
@@ -1,5 +1,7 @@
 #include "Wire/rpc.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -28,10 +30,13 @@
 
 } // namespace
 
-struct rpc_client::pending_call
+// The calls without an outcome and the wait for their deadlines.
+struct rpc_client::call_waits
 {
+    pending_calls calls;
+    // Exists while a coroutine watches the deadlines, the first of which is `due`.
     std::unique_ptr<wait_timer> timer;
-    std::optional<result<response_message, network_failure>> outcome;
+    steady_time due{};
 };
 
 rpc_client::rpc_client(asio::any_io_executor executor, clock_source &clock, network &transport,
@@ -43,17 +48,20 @@
     , m_peer(std::move(peer))
     , m_work(work)
     , m_connected(clock)
+    , m_waits(std::make_shared<call_waits>())
 {}
 
 rpc_client::~rpc_client()
 {
+    if (m_waits->timer) {
+        m_waits->timer->cancel();
+    }
     if (m_connection) {
         m_connection->close();
     }
 }
 
-asio::awaitable<result<response_message, network_failure>> rpc_client::invoke(call message,
-                                                                              steady_span timeout)
+asio::awaitable<call_outcome> rpc_client::invoke(const call &message, steady_span timeout)
 {
     const auto keepAlive = shared_from_this();
     const steady_time deadline = m_clock.now() + timeout;
@@ -67,25 +75,16 @@
                                       "connected late"};
         }
     }
-    pending_call pending{m_clock.makeTimer(), {}};
+    pending_call pending{deadline, m_connection, m_framesReceived, {}};
     const std::uint64_t correlation = m_nextCorrelation++;
-    const std::uint64_t receivedBefore = m_framesReceived;
-    const auto connection = m_connection;
-    m_pendingCalls[correlation] = &pending;
-    send(*connection, correlation, message);
-    co_await pending.timer->waitFor(deadline - m_clock.now());
-    const std::size_t turns = pending.outcome ? 0 : turnsToRead(connection->unreadBytes());
-    for (std::size_t turn = 0; turn < turns && !pending.outcome; ++turn) {
-        co_await asio::post(m_executor, asio::use_awaitable);
-    }
-    m_pendingCalls.erase(correlation);
-    if (pending.outcome) {
-        co_return std::move(*pending.outcome);
-    }
-    if (m_framesReceived == receivedBefore && m_connection == connection) {
-        close();
-    }
-    co_return network_failure{network_failure::kind::timedOut, m_peer, ""};
+    send(*pending.connection, correlation, message);
+    auto suspend = [&](pending_calls::continuation resume) {
+        m_waits->calls.add(correlation, pending, std::move(resume));
+        watchDeadline(deadline);
+    };
+    co_await asio::async_initiate<const asio::use_awaitable_t<>, void()>(suspend,
+                                                                         asio::use_awaitable);
+    co_return std::move(*pending.outcome);
 }
 
 void rpc_client::send(frame_connection &connection, std::uint64_t correlation, const call &message)
@@ -136,36 +135,118 @@
             }
             co_return;
         }
-        processResponse(valueOf(received));
+        auto resume = processResponse(valueOf(received));
+        if (resume) {
+            (*resume)();
+        }
     }
 }
 
-void rpc_client::processResponse(const frame &message)
+std::optional<pending_calls::continuation> rpc_client::processResponse(const frame &message)
 {
     const metered_work section(m_work, work_kind::answers);
     m_causalClock.observe(message.timestamp);
     ++m_framesReceived;
-    const auto found = m_pendingCalls.find(message.correlation);
-    if (!message.isResponse || found == m_pendingCalls.end()) {
-        return;
+    if (!message.isResponse || m_waits->calls.find(message.correlation) == nullptr) {
+        return std::nullopt;
     }
     response_message response;
-    if (decode(message.payload, response)) {
-        found->second->outcome = std::move(response);
-    } else {
-        found->second->outcome =
-                network_failure{network_failure::kind::invalidFrame, m_peer, "not an answer"};
+    if (!decode(message.payload, response)) {
+        return m_waits->calls.complete(
+                message.correlation,
+                network_failure{network_failure::kind::invalidFrame, m_peer, "not an answer"});
     }
-    found->second->timer->cancel();
+    return m_waits->calls.complete(message.correlation, std::move(response));
 }
 
-void rpc_client::failPendingCalls()
+void rpc_client::watchDeadline(steady_time deadline)
+{
+    if (!m_waits->timer) {
+        m_waits->timer = m_clock.makeTimer();
+        asio::co_spawn(m_executor, expireCalls(weak_from_this(), m_waits), asio::detached);
+    } else if (deadline < m_waits->due) {
+        m_waits->due = deadline;
+        m_waits->timer->cancel();
+    }
+}
+
+asio::awaitable<void> rpc_client::expireCalls(std::weak_ptr<rpc_client> self,
+                                              std::shared_ptr<call_waits> waits)
+{
+    // The coroutines that wait for a response are destroyed together with this one when the event
+    // loop is destroyed.
+    const auto end = [](call_waits *ended) {
+        ended->timer.reset();
+        ended->calls.clear();
+    };
+    const std::unique_ptr<call_waits, decltype(end)> watch(waits.get(), end);
+    while (true) {
+        steady_span untilDue{0};
+        if (const auto alive = self.lock()) {
+            const auto due = waits->calls.earliestDeadline();
+            if (!due) {
+                co_return;
+            }
+            const steady_time now = alive->m_clock.now();
+            if (*due <= now) {
+                co_await alive->failOverdueCalls(now);
+                continue;
+            }
+            waits->due = *due;
+            untilDue = *due - now;
+        } else {
+            co_return;
+        }
+        co_await waits->timer->waitFor(untilDue);
+    }
+}
+
+asio::awaitable<void> rpc_client::failOverdueCalls(steady_time now)
 {
-    for (auto &[correlation, pending] : m_pendingCalls) {
-        if (!pending->outcome) {
-            pending->outcome = network_failure{network_failure::kind::closed, m_peer, ""};
+    pending_calls &calls = m_waits->calls;
+    const std::vector<std::uint64_t> overdue = calls.takeOverdue(now);
+    const frame_connection *counted = nullptr;
+    std::size_t turns = 0;
+    for (const std::uint64_t correlation : overdue) {
+        const auto &connection = calls.find(correlation)->connection;
+        if (connection.get() != counted) {
+            counted = connection.get();
+            turns = std::max(turns, turnsToRead(connection->unreadBytes()));
+        }
+    }
+    const auto isPending = [&calls](std::uint64_t correlation) {
+        return calls.find(correlation) != nullptr;
+    };
+    for (std::size_t turn = 0; turn < turns; ++turn) {
+        if (std::none_of(overdue.begin(), overdue.end(), isPending)) {
+            co_return;
+        }
+        co_await asio::post(m_executor, asio::use_awaitable);
+    }
+    for (const std::uint64_t correlation : overdue) {
+        const pending_call *call = calls.find(correlation);
+        if (call == nullptr) {
+            continue;
         }
-        pending->timer->cancel();
+        const bool isSilent =
+                m_framesReceived == call->framesBefore && m_connection == call->connection;
+        fail(correlation, {network_failure::kind::timedOut, m_peer, ""});
+        if (isSilent) {
+            close();
+        }
+    }
+}
+
+void rpc_client::fail(std::uint64_t correlation, network_failure failure)
+{
+    auto resume = m_waits->calls.complete(correlation, std::move(failure));
+    asio::post(m_executor, std::move(resume));
+}
+
+void rpc_client::failPendingCalls()
+{
+    for (const std::uint64_t correlation : m_waits->calls.correlations()) {
+        fail(correlation, {network_failure::kind::closed, m_peer, ""});
     }
 }
 
--- a/Source/Wire/rpc.h
+++ b/Source/Wire/rpc.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 
 #include "Common/timeline.h"
@@ -9,12 +8,14 @@
 #include "Common/work_meter.h"
 #include "Wire/messages.h"
 #include "Wire/network.h"
+#include "Wire/pending_calls.h"
 
 namespace mango {
 
 // Makes calls to one peer over one connection, which is opened when needed. Calls may be
 // concurrent, and responses may arrive in any order. When a call times out and no frame at all has
-// arrived since it was sent, the connection is closed, so that the next call opens a new one.
+// arrived since it was sent, the connection is closed, so that the next call opens a new one. One
+// timer serves all calls, since nearly all are answered long before their time is over.
 class rpc_client : public std::enable_shared_from_this<rpc_client>
 {
 public:
@@ -24,9 +25,9 @@
 
     // Sends the call and returns its response; fails when the connection fails or the timeout ends.
     // The failure is `connectFailed` only when the call was not sent. A response that has arrived
-    // before the timeout ended is returned even if this process reads it later.
-    boost::asio::awaitable<result<response_message, network_failure>> invoke(call message,
-                                                                             steady_span timeout);
+    // before the timeout ended is returned even if this process reads it later. The message must
+    // exist until the call has returned.
+    boost::asio::awaitable<call_outcome> invoke(const call &message, steady_span timeout);
     // Closes the connection and fails all pending calls; a later call opens a new connection.
     void close();
 
@@ -36,12 +37,20 @@
     }
 
 private:
-    struct pending_call;
+    struct call_waits;
 
     boost::asio::awaitable<result<done, network_failure>> ensureConnected(steady_span timeout);
     void send(frame_connection &connection, std::uint64_t correlation, const call &message);
-    void processResponse(const frame &message);
+    // Decodes a response and returns what resumes its caller, if one waits for it.
+    std::optional<pending_calls::continuation> processResponse(const frame &message);
     boost::asio::awaitable<void> readResponses(std::shared_ptr<frame_connection> connection);
+    void watchDeadline(steady_time deadline);
+    // Fails the calls that get no response in time, until no call is pending.
+    static boost::asio::awaitable<void> expireCalls(std::weak_ptr<rpc_client> self,
+                                                    std::shared_ptr<call_waits> waits);
+    boost::asio::awaitable<void> failOverdueCalls(steady_time now);
+    // Fails a call that has no outcome; its coroutine resumes in a later turn of the event loop.
+    void fail(std::uint64_t correlation, network_failure failure);
     void failPendingCalls();
 
     boost::asio::any_io_executor m_executor;
@@ -55,7 +64,7 @@
     wake_event m_connected;
     std::uint64_t m_nextCorrelation = 1;
     std::uint64_t m_framesReceived = 0;
-    std::map<std::uint64_t, pending_call *> m_pendingCalls;
+    std::shared_ptr<call_waits> m_waits;
 };
 
 // Produces the response to a call from the peer.
--- a/Tests/Unit/call_failures_test.cxx
+++ b/Tests/Unit/call_failures_test.cxx
@@ -95,15 +95,102 @@
     milliseconds m_delay;
 };
 
-using call_outcome = std::optional<result<response_message, network_failure>>;
-
 asio::awaitable<void> invokeOnce(std::shared_ptr<rpc_client> client, steady_span timeout,
-                                 call_outcome &outcome)
+                                 std::optional<call_outcome> &outcome)
 {
     const call message{0, transfer_leadership_request{}};
     outcome = co_await client->invoke(message, timeout);
 }
 
+// A clock that counts the timers that are created.
+class timer_counting_clock final : public clock_source
+{
+public:
+    explicit timer_counting_clock(clock_source &clock)
+        : m_clock(clock)
+    {}
+    [[nodiscard]] steady_time now() const override
+    {
+        return m_clock.now();
+    }
+    [[nodiscard]] std::chrono::system_clock::time_point wallTime() const override
+    {
+        return m_clock.wallTime();
+    }
+    std::unique_ptr<wait_timer> makeTimer() override
+    {
+        ++timers;
+        return m_clock.makeTimer();
+    }
+
+    std::size_t timers = 0;
+
+private:
+    clock_source &m_clock;
+};
+
+// A client and a server that answers each call after a time of its own.
+struct slow_service
+{
+    slow_service()
+    {
+        serveCalls(context->get_executor(), serverLinks, stamps, peerAddress,
+                   [this](call message, host_address) {
+                       return answer(std::move(message));
+                   });
+        client = std::make_shared<rpc_client>(context->get_executor(), clientClock, clientLinks,
+                                              stamps, peerAddress);
+    }
+    slow_service(const slow_service &) = delete;
+    slow_service &operator=(const slow_service &) = delete;
+    ~slow_service()
+    {
+        // The coroutines that still wait use the clock until they are destroyed.
+        client.reset();
+        context.reset();
+    }
+
+    // The term in a call says after how many milliseconds it is answered.
+    asio::awaitable<response_message> answer(call message)
+    {
+        const auto &request = std::get<transfer_leadership_request>(message.message);
+        co_await clock.sleepFor(milliseconds(request.term));
+        append_response response;
+        response.term = request.term;
+        co_return response;
+    }
+    static asio::awaitable<void> invoke(std::shared_ptr<rpc_client> client,
+                                        milliseconds answerAfter, milliseconds timeout,
+                                        std::optional<call_outcome> &outcome)
+    {
+        const call message{0, transfer_leadership_request{
+                                      "", static_cast<std::uint64_t>(answerAfter.count())}};
+        outcome = co_await client->invoke(message, timeout);
+    }
+    std::optional<call_outcome> &start(milliseconds answerAfter, milliseconds timeout)
+    {
+        std::optional<call_outcome> &outcome = outcomes.emplace_back();
+        asio::co_spawn(*context, invoke(client, answerAfter, timeout, outcome), asio::detached);
+        return outcome;
+    }
+
+    std::unique_ptr<asio::io_context> context = std::make_unique<asio::io_context>(1);
+    fake_clock clock{*context};
+    timer_counting_clock clientClock{clock};
+    std::shared_ptr<fake_links> links =
+            std::make_shared<fake_links>(context->get_executor(), clock);
+    fake_network serverLinks{links, peerAddress};
+    fake_network clientLinks{links, {"10.0.0.2", 1}};
+    causal_clock stamps{clock};
+    std::shared_ptr<rpc_client> client;
+    std::deque<std::optional<call_outcome>> outcomes;
+};
+
+bool hasFailed(const std::optional<call_outcome> &outcome, network_failure::kind reason)
+{
+    return outcome && failed(*outcome) && failureOf(*outcome).reason == reason;
+}
+
 asio::awaitable<void> startRun(worker_client &client, worker_response &response)
 {
     worker_call_target target;
@@ -179,7 +266,7 @@
     single_network links(clock, connection, milliseconds(0));
     const auto client =
             std::make_shared<rpc_client>(context.get_executor(), clock, links, stamps, peerAddress);
-    call_outcome outcome;
+    std::optional<call_outcome> outcome;
     asio::co_spawn(context, invokeOnce(client, milliseconds(25), outcome), asio::detached);
     while (!outcome) {
         context.run_one();
@@ -198,7 +285,7 @@
     single_network links(clock, connection, milliseconds(1500));
     const auto client = std::make_shared<rpc_client>(context->get_executor(), clock, links, stamps,
                                                      peerAddress);
-    call_outcome outcome;
+    std::optional<call_outcome> outcome;
     asio::co_spawn(*context, invokeOnce(client, seconds(1), outcome), asio::detached);
     clock.advance(milliseconds(1400));
     clock.advance(seconds(2));
@@ -209,6 +296,101 @@
     EXPECT_EQ(connection->unreadBytes(), 0U);
 }
 
+// Nearly all calls are answered early. A timer for each of them cost the leader more than the call.
+TEST(rpc_client, needsNoTimerForEachCall)
+{
+    slow_service service;
+    service.start(milliseconds(0), seconds(2));
+    service.clock.advance(milliseconds(100));
+    const std::size_t before = service.clientClock.timers;
+    for (int number = 0; number < 100; ++number) {
+        service.start(milliseconds(number % 7), seconds(2));
+    }
+    service.clock.advance(milliseconds(100));
+    for (const auto &outcome : service.outcomes) {
+        ASSERT_TRUE(outcome.has_value());
+        EXPECT_FALSE(failed(*outcome));
+    }
+    EXPECT_LE(service.clientClock.timers - before, 1U);
+}
+
+// Each response goes to the caller that waits for it, also when they arrive in another order.
+TEST(rpc_client, deliversResponsesInAnyOrder)
+{
+    slow_service service;
+    for (int number = 0; number < 50; ++number) {
+        service.start(milliseconds(50 - number), seconds(2));
+    }
+    service.clock.advance(milliseconds(100));
+    for (int number = 0; number < 50; ++number) {
+        const auto &outcome = service.outcomes[static_cast<std::size_t>(number)];
+        ASSERT_TRUE(outcome.has_value() && !failed(*outcome));
+        EXPECT_EQ(std::get<append_response>(valueOf(*outcome)).term, 50U - number);
+    }
+}
+
+// A call with an early deadline must not wait for that of a call that was sent before it.
+TEST(rpc_client, failsEachCallAtItsOwnDeadline)
+{
+    slow_service service;
+    service.start(milliseconds(0), seconds(1));
+    service.clock.advance(milliseconds(10));
+    // Without any response the connection would count as broken.
+    service.start(milliseconds(200), seconds(1));
+    const auto &late = service.start(milliseconds(5000), milliseconds(900));
+    const auto &early = service.start(milliseconds(5000), milliseconds(300));
+    const auto &answered = service.start(milliseconds(600), milliseconds(700));
+    service.clock.advance(milliseconds(295));
+    EXPECT_FALSE(early.has_value());
+    service.clock.advance(milliseconds(10));
+    EXPECT_TRUE(hasFailed(early, network_failure::kind::timedOut));
+    EXPECT_FALSE(late.has_value());
+    service.clock.advance(milliseconds(310));
+    ASSERT_TRUE(answered.has_value());
+    EXPECT_FALSE(failed(*answered));
+    service.clock.advance(milliseconds(280));
+    EXPECT_FALSE(late.has_value());
+    service.clock.advance(milliseconds(10));
+    EXPECT_TRUE(hasFailed(late, network_failure::kind::timedOut));
+}
+
+// A call that was sent counts as unanswered when its connection closes, not as never sent.
+TEST(rpc_client, failsTheCallsInProgressWhenItCloses)
+{
+    slow_service service;
+    for (int number = 0; number < 5; ++number) {
+        service.start(milliseconds(500), seconds(2));
+    }
+    service.clock.advance(milliseconds(100));
+    service.client->close();
+    service.clock.advance(milliseconds(1));
+    for (const auto &outcome : service.outcomes) {
+        EXPECT_TRUE(hasFailed(outcome, network_failure::kind::closed));
+    }
+    const auto &next = service.start(milliseconds(0), seconds(2));
+    service.clock.advance(milliseconds(100));
+    ASSERT_TRUE(next.has_value());
+    EXPECT_FALSE(failed(*next));
+}
+
+// Coroutines that wait for a response are destroyed with the event loop, and its objects with them.
+TEST(rpc_client, leavesNothingBehindWhenTheEventLoopEnds)
+{
+    const auto held = std::make_shared<int>(0);
+    {
+        slow_service service;
+        const auto waitHolding = [](std::shared_ptr<rpc_client> client,
+                                    std::shared_ptr<int> /*held*/) -> asio::awaitable<void> {
+            const call message{0, transfer_leadership_request{"", 1000}};
+            co_await client->invoke(message, seconds(2));
+        };
+        asio::co_spawn(*service.context, waitHolding(service.client, held), asio::detached);
+        service.clock.advance(milliseconds(100));
+        EXPECT_GT(held.use_count(), 1);
+    }
+    EXPECT_EQ(held.use_count(), 1);
+}
+
 // A start counts as never sent only when it certainly was not: the task then starts elsewhere.
 TEST(relayed_worker_client, takesNoStrangeAnswerForACallThatWasNeverSent)
 {
