relays: Choose the relay of a call without a copy of the list

Cause: each call copied the addresses of all relays and hashed the worker's id once for each comparison of two of them.

Change: the id is hashed once, and the relays are looked through in place. The choice is the same (relays.shareTheWorkersEvenly, keepTheOtherWorkersWhenARelayLeaves).

--- a/Source/Dispatch/relayed_worker_client.cxx
+++ b/Source/Dispatch/relayed_worker_client.cxx
@@ -19,21 +19,28 @@
 // on.
 constexpr auto transitLimit = std::chrono::milliseconds(600);
 
-// A 64-bit hash (FNV-1a, with the finalizer of MurmurHash3 to spread similar keys).
-std::uint64_t hashOf(const std::string &worker, const host_address &relay)
+// FNV-1a.
+constexpr std::uint64_t fnvBasis = 0xcbf29ce484222325U;
+
+std::uint64_t addToHash(std::uint64_t hash, unsigned char byte)
 {
-    std::uint64_t hash = 0xcbf29ce484222325U;
-    const auto add = [&hash](unsigned char byte) {
-        hash = (hash ^ byte) * 0x100000001b3U;
-    };
-    for (const char letter : worker) {
-        add(static_cast<unsigned char>(letter));
-    }
-    for (const char letter : relay.ip) {
-        add(static_cast<unsigned char>(letter));
+    return (hash ^ byte) * 0x100000001b3U;
+}
+
+std::uint64_t addToHash(std::uint64_t hash, const std::string &text)
+{
+    for (const char letter : text) {
+        hash = addToHash(hash, static_cast<unsigned char>(letter));
     }
-    add(static_cast<unsigned char>(relay.port >> 8U));
-    add(static_cast<unsigned char>(relay.port));
+    return hash;
+}
+
+// A 64-bit hash of a worker and a relay, with the finalizer of MurmurHash3 to spread similar keys.
+std::uint64_t hashOf(std::uint64_t workerHash, const host_address &relay)
+{
+    std::uint64_t hash = addToHash(workerHash, relay.ip);
+    hash = addToHash(hash, static_cast<unsigned char>(relay.port >> 8U));
+    hash = addToHash(hash, static_cast<unsigned char>(relay.port));
     hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdU;
     hash = (hash ^ (hash >> 33U)) * 0xc4ceb9fe1a85ec53U;
     return hash ^ (hash >> 33U);
@@ -63,9 +70,10 @@
 
 const host_address &chooseRelay(const std::vector<host_address> &relays, const std::string &worker)
 {
+    const std::uint64_t workerHash = addToHash(fnvBasis, worker);
     return *std::max_element(relays.begin(), relays.end(),
-                             [&](const host_address &one, const host_address &other) {
-                                 return hashOf(worker, one) < hashOf(worker, other);
+                             [workerHash](const host_address &one, const host_address &other) {
+                                 return hashOf(workerHash, one) < hashOf(workerHash, other);
                              });
 }
 
@@ -115,14 +123,24 @@
 
 host_address relayed_worker_client::relayOf(const std::string &worker) const
 {
+    if (m_relays.empty()) {
+        return {};
+    }
     const steady_time now = m_clock.now();
-    std::vector<host_address> usable;
+    const std::uint64_t workerHash = addToHash(fnvBasis, worker);
+    const host_address *chosen = nullptr;
+    std::uint64_t highest = 0;
     for (const auto &[address, one] : m_relays) {
-        if (now >= one.suspendedUntil) {
-            usable.push_back(address);
+        if (now < one.suspendedUntil) {
+            continue;
+        }
+        const std::uint64_t hash = hashOf(workerHash, address);
+        if (chosen == nullptr || hash > highest) {
+            chosen = &address;
+            highest = hash;
         }
     }
-    return usable.empty() ? host_address{} : chooseRelay(usable, worker);
+    return chosen == nullptr ? host_address{} : *chosen;
 }
 
 void relayed_worker_client::suspend(const host_address &address)
