links: Write queued frames without a coroutine for each write

Change: a write goes on with the frames that were queued meanwhile. What is counted, limited and closed stays as it was. The gain was not measured by itself: leader_benchmark has no sockets.

--- a/Source/Wire/tcp_network.cxx
+++ b/Source/Wire/tcp_network.cxx
@@ -1,7 +1,6 @@
 #include "Wire/tcp_network.h"
 
 #include <algorithm>
-#include <deque>
 #include <optional>
 
 #include <boost/asio.hpp>
@@ -130,10 +129,8 @@
             close();
             return;
         }
-        if (!m_writing) {
-            m_writing = true;
-            asio::co_spawn(m_stream.get_executor(), writeQueue(this->shared_from_this()),
-                           asio::detached);
+        if (m_writing.empty()) {
+            writeQueue();
         }
     }
 
@@ -209,26 +206,29 @@
         }
     }
 
-    asio::awaitable<void> writeQueue(std::shared_ptr<tcp_connection> /*keepAlive*/)
+    void writeQueue()
     {
-        error_code error;
-        while (!m_queue.empty() && !error) {
-            const std::deque<std::string> batch = std::exchange(m_queue, {});
-            std::vector<asio::const_buffer> buffers;
-            buffers.reserve(batch.size());
-            for (const std::string &bytes : batch) {
-                buffers.push_back(asio::buffer(bytes));
-            }
-            ++m_counters.writes;
-            co_await asio::async_write(m_stream, buffers,
-                                       asio::redirect_error(asio::use_awaitable, error));
-            for (const std::string &bytes : batch) {
-                m_queuedBytes -= bytes.size();
-            }
+        m_writing.swap(m_queue);
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(m_writing.size());
+        for (const std::string &bytes : m_writing) {
+            buffers.push_back(asio::buffer(bytes));
         }
-        m_writing = false;
+        ++m_counters.writes;
+        asio::async_write(m_stream, buffers,
+                          [self = this->shared_from_this()](error_code error, std::size_t count) {
+                              self->finishWrite(error, count);
+                          });
+    }
+
+    void finishWrite(error_code error, std::size_t count)
+    {
+        m_queuedBytes -= count;
+        m_writing.clear();
         if (error) {
             close();
+        } else if (!m_queue.empty()) {
+            writeQueue();
         }
     }
 
@@ -241,9 +241,10 @@
     std::size_t m_taken = 0;
     // The header of the next frame while its payload is incomplete.
     std::optional<frame_header> m_header;
-    std::deque<std::string> m_queue;
+    // The frames of the write in progress, and those of the next one.
+    std::vector<std::string> m_writing;
+    std::vector<std::string> m_queue;
     std::size_t m_queuedBytes = 0;
-    bool m_writing = false;
 };
 
 asio::ssl::context makeTlsContext(const tls_options &security, error_code &error)
