dispatch: Count the unfinished tasks of a step once for a commit

Cause: each end of a run went through all tasks of its step, of which one commit ends several.

Change: steps are counted after all ends of the commit. Nothing in between reads the counts.

--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -15,13 +15,16 @@
 
 namespace {
 
-std::uint32_t countUnfinished(const job_state &job, const task_key &key)
+// Takes the tasks that are done out of a step.
+void removeDoneTasks(tracked_step &tracked, const std::vector<task_state> &tasks)
 {
-    const auto &tasks = job.occurrences.at(key.occurrence).steps[key.step];
-    return static_cast<std::uint32_t>(
+    tracked.unfinishedTasks = static_cast<std::uint32_t>(
             std::count_if(tasks.begin(), tasks.end(), [](const task_state &task) {
                 return !task.done;
             }));
+    std::erase_if(tracked.waiting, [&tasks](std::uint32_t index) {
+        return tasks[index].done;
+    });
 }
 
 bool hasRun(const task_state &task, std::uint32_t run)
@@ -231,6 +234,7 @@
 {
     const auto &jobs = state->context.machine.state().jobs;
     std::set<std::uint64_t> affectedJobs;
+    std::set<task_key> stepsWithDoneTasks;
     for (const end_runs::run_end &end : change.ends) {
         const task_key &key = end.key.task;
         const auto where = state->workerByRun.find(end.key);
@@ -260,12 +264,7 @@
             requeueTask(*state, job->second, key);
             continue;
         }
-        if (tracked_step *tracked = findStep(*state, key)) {
-            tracked->unfinishedTasks = countUnfinished(job->second, key);
-            std::erase_if(tracked->waiting, [&](std::uint32_t index) {
-                return findTask(job->second, {key.job, key.occurrence, key.step, index})->done;
-            });
-        }
+        stepsWithDoneTasks.insert({key.job, key.occurrence, key.step, 0});
         // The other members of a gang end by themselves, except those of a newer run.
         if (!step.gang) {
             stopTask(state, key);
@@ -273,6 +272,13 @@
             stopStep(state, key);
         }
     }
+    for (const task_key &key : stepsWithDoneTasks) {
+        const auto job = jobs.find(key.job);
+        tracked_step *tracked = findStep(*state, key);
+        if (tracked != nullptr && job != jobs.end()) {
+            removeDoneTasks(*tracked, job->second.occurrences.at(key.occurrence).steps[key.step]);
+        }
+    }
     for (const std::uint64_t number : affectedJobs) {
         const auto job = jobs.find(number);
         if (job == jobs.end() || !isOpen(job->second)) {
