placement: Let new long-running tasks wait while short ones lack room

Cause: long-running tasks hold about 93% of the cores. First runs that had waited for 2.5 s went before short tasks, and others took any room in a lull. Each kept its cores for a minute, so the room that cancelled jobs released never reached the short tasks.

Change: beyond 85% of the cores of a service the first run of a long-running task waits while a short task has waited for room for 500 ms within the last 3 s, unless some worker has room for two of it. round-work counts the looks at such steps as deferrals.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -15,6 +15,7 @@
 #include "Scheduling/observed_capacity.h"
 #include "Scheduling/run_placement.h"
 #include "Scheduling/run_progress.h"
+#include "Scheduling/room_shortage.h"
 #include "Scheduling/run_times.h"
 #include "Scheduling/step_order.h"
 #include "Scheduling/worker_soundness.h"
@@ -339,6 +340,9 @@
     std::map<host_address, std::deque<steady_time>> crashesByAddress;
     // When the workers that have exited lately were last heard, oldest exit first.
     std::deque<steady_time> exitedSilentSince;
+    // By service; the sums are those of `roomCountedAt`, with what was placed since.
+    std::map<std::string, service_room> serviceRooms;
+    steady_time roomCountedAt{};
     round_summary roundSummary;
     // Something has changed since the last scheduling round began.
     bool changed = true;
--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -147,7 +147,7 @@
     const char *name;
     std::uint64_t round_work::*count;
 };
-constexpr std::array<named_count, 13> workCounts{{
+constexpr std::array<named_count, 14> workCounts{{
         {"offers_updated", &round_work::offersUpdated},
         {"jobs_seen", &round_work::jobsSeen},
         {"steps_ready", &round_work::stepsReady},
@@ -157,6 +157,7 @@
         {"scans_for_trial", &round_work::scansForTrial},
         {"scans_to_hold", &round_work::scansToHold},
         {"offers_scored", &round_work::offersScored},
+        {"deferrals", &round_work::deferrals},
         {"releases_listed", &round_work::releasesListed},
         {"runs_checked", &round_work::runsChecked},
         {"suspects", &round_work::suspects},
--- a/Source/Dispatch/round_work.h
+++ b/Source/Dispatch/round_work.h
@@ -45,6 +45,8 @@
     std::uint64_t scansForTrial = 0;
     std::uint64_t scansToHold = 0;
     std::uint64_t offersScored = 0;
+    // Looks at long-running steps that waited for short tasks which lack room.
+    std::uint64_t deferrals = 0;
     // Workers whose expected releases were listed.
     std::uint64_t releasesListed = 0;
     // Runs that the checks for stragglers went through, and those that they looked at closely.
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Dispatch/round_report.h"
+#include "Dispatch/service_rooms.h"
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/trial_runs.h"
 
@@ -205,6 +206,27 @@
     return since && state.context.clock.now() - *since > heldRoomThreshold;
 }
 
+// True when short tasks of the service have waited for room lately, so that the next task of a
+// long-running step that has not run yet waits for them. Room for two such tasks is more than they
+// can use.
+bool defersFirstRun(dispatch_state &state, round_offers &round, const ready_step &ready)
+{
+    if (!ready.urgency.longRunning || ready.urgency.isRestart) {
+        return false;
+    }
+    placement_request request = makeRequest(state, ready, 0);
+    const service_room &room = state.serviceRooms[*request.service];
+    if (admitsLongRunning(room, request.step->resources.milliCores, state.context.clock.now())) {
+        return false;
+    }
+    job_step doubled = *request.step;
+    doubled.resources.milliCores *= 2;
+    request.step = &doubled;
+    const bool isDeferred = offersWithRoom(round.index, round.offers, request).empty();
+    state.roundSummary.work.deferrals += isDeferred ? 1 : 0;
+    return isDeferred;
+}
+
 // The offers after an attempt to reserve resources for all members of a gang.
 struct gang_trial
 {
@@ -336,6 +358,9 @@
     ready.tracked->trialWaitSince.erase(key.task.index);
     ready.tracked->explanationWaitSince.erase(key.task.index);
     tracked_run &added = addRun(*state, worker, key, step, run_phase::planned);
+    if (step.longRunning) {
+        state->serviceRooms[*request.service].longRunning += step.resources.milliCores;
+    }
     added.placement = reason;
     // A gang starts as a whole.
     offer.unavailable = offer.unavailable || (worker->observed.limit && !step.gang);
@@ -435,6 +460,10 @@
                 ++at;
                 continue;
             }
+            if (defersFirstRun(*state, round, ready)) {
+                someUnplaced = true;
+                break;
+            }
             // All tasks of a step need the same resources.
             if (someUnplaced
                 || !placeTask(state, round, ready, index, task.lastRun + 1, ranking, started)) {
@@ -454,6 +483,7 @@
         waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(at));
     }
     if (someUnplaced) {
+        recordShortage(*state, ready);
         beginWait(*state, ready);
     } else {
         waitOf(ready).since.reset();
--- a/Source/Dispatch/worker_offers.cxx
+++ b/Source/Dispatch/worker_offers.cxx
@@ -4,6 +4,7 @@
 
 #include "Dispatch/room_refusals.h"
 #include "Dispatch/run_throttling.h"
+#include "Dispatch/service_rooms.h"
 
 namespace mango {
 
@@ -178,6 +179,7 @@
         round.nextUnchanged = round.nextUnchanged + 1 < count ? round.nextUnchanged + 1 : 0;
         updateOffer(state, round, round.nextUnchanged, now, false);
     }
+    countServiceRooms(state, round);
     round.mostlyIdle = round.usedMilliCores * 2 < round.capacityMilliCores;
     round.rejected.clear();
     round.releases.clear();
--- /dev/null
+++ b/Source/Scheduling/room_shortage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "Common/clock_source.h"
+
+namespace mango {
+
+// The cores of the workers of one service that take new work, and whether they suffice.
+struct service_room
+{
+    // In thousandths of a core.
+    std::uint64_t capacity = 0;
+    // The part of the capacity that was requested by long-running tasks.
+    std::uint64_t longRunning = 0;
+    // When a short task last waited for room for a while.
+    std::optional<steady_time> shortageAt;
+};
+
+// Returns true when the first run of a long-running task that requests so many thousandths of a
+// core may be placed now. Such a run keeps its cores, while short tasks release theirs within
+// seconds: in a service that is nearly full of long-running tasks, each one that is added can keep
+// short tasks from their objectives for as long as it runs. So most of the service is open to them,
+// and the rest as long as no short task has lately waited for room.
+bool admitsLongRunning(const service_room &room, std::uint32_t milliCores, steady_time now);
+
+} // namespace mango
