rounds: Log how the cores of the service are used

Each second `core-use` follows `round-work`: the cores of the workers that take new work, the cores that long-running, short and best-effort tasks use, and the workers by the cores that long-running tasks leave, and that these and short tasks leave, in steps of four cores. At most 13 steps are written.

--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -18,6 +18,10 @@
 // steps first.
 constexpr std::uint64_t mostWaitReports = 10;
 
+// The workers are counted in steps of so many cores, up to this number of steps.
+constexpr std::int64_t coresPerBucket = 4;
+constexpr std::size_t coreBuckets = 13;
+
 enum task_kind : std::uint8_t { shortTask, bestEffortTask, longRunningTask };
 constexpr std::size_t taskKindCount = 3;
 constexpr std::array<const char *, taskKindCount> kindNames{"short", "best_effort", "long_running"};
@@ -209,6 +213,68 @@
               {"counts", counts}});
 }
 
+// How the cores of the workers that take new work are used.
+struct core_use
+{
+    std::uint64_t capacity = 0;
+    std::uint64_t longRunning = 0;
+    std::uint64_t shortTasks = 0;
+    std::uint64_t bestEffort = 0;
+    // The workers by their cores that no long-running task uses, and by those that neither such a
+    // task nor a short one uses; each entry stands for `coresPerBucket` cores more.
+    std::array<std::uint32_t, coreBuckets> besideLongRunning{};
+    std::array<std::uint32_t, coreBuckets> unused{};
+};
+
+std::size_t bucketOf(std::int64_t milliCores)
+{
+    const std::int64_t bucket = std::max<std::int64_t>(0, milliCores) / (coresPerBucket * 1000);
+    return std::min(coreBuckets - 1, static_cast<std::size_t>(bucket));
+}
+
+core_use sumUpCores(const round_offers &round)
+{
+    core_use use;
+    for (const worker_offer &offer : round.offers) {
+        if (offer.unavailable) {
+            continue;
+        }
+        const std::int64_t capacity = offer.record->capacity.milliCores;
+        use.capacity += static_cast<std::uint64_t>(capacity) / 1000;
+        use.longRunning += offer.longRunningMilliCores / 1000;
+        use.shortTasks += (offer.used.milliCores - offer.longRunningMilliCores) / 1000;
+        use.bestEffort += offer.bestEffortMilliCores / 1000;
+        ++use.besideLongRunning[bucketOf(capacity - offer.longRunningMilliCores)];
+        ++use.unused[bucketOf(capacity - offer.used.milliCores)];
+    }
+    return use;
+}
+
+// Formats the number of workers by cores as CORES:COUNT.
+std::string describeBuckets(const std::array<std::uint32_t, coreBuckets> &workers)
+{
+    std::string text;
+    for (std::size_t at = 0; at < workers.size(); ++at) {
+        if (workers[at] > 0) {
+            text += (text.empty() ? "" : ",") + std::to_string(at * coresPerBucket) + ":"
+                    + std::to_string(workers[at]);
+        }
+    }
+    return text;
+}
+
+void logCoreUse(const round_offers &round)
+{
+    const core_use use = sumUpCores(round);
+    logEvent(log_part::scheduler, "core-use",
+             {{"capacity", use.capacity},
+              {"long_running", use.longRunning},
+              {"short", use.shortTasks},
+              {"best_effort", use.bestEffort},
+              {"workers_by_cores_beside_long_running", describeBuckets(use.besideLongRunning)},
+              {"workers_by_unused_cores", describeBuckets(use.unused)}});
+}
+
 } // namespace
 
 void recordUnplaced(dispatch_state &state, const round_offers &round,
@@ -296,6 +362,7 @@
               {"stopping", unsettled.stopping}});
     exportWork(state.context.metricsRegistry, summary.work);
     logWork(summary.work);
+    logCoreUse(round);
     summary = {};
     summary.since = now;
 }
