--- a/Tests/Unit/run_once_test.cxx
+++ b/Tests/Unit/run_once_test.cxx
@@ -32,6 +32,9 @@
     void readReportsAfter(milliseconds delay)
     {
         for (const auto &node : nodes) {
+            if (!node) {
+                continue;
+            }
             node->workers.drawReadDelay = [delay] {
                 return delay;
             };
@@ -141,6 +144,25 @@
     EXPECT_EQ(group.phase(10), job_phase::completed);
 }
 
+// A leader that has just begun and gets its first answers late takes its workers for silent, though
+// they have listed what was done there.
+TEST(run_once, keepsRunsOfWorkersThatHaveNotAnsweredANewLeader)
+{
+    for (const int delay : {2, 6, 7}) {
+        slow_leader_fleet group(4);
+        group.workers.runDuration = seconds(4);
+        group.submit(10, fleet_group::oneStep(8));
+        group.run(seconds(1));
+        ASSERT_EQ(group.workers.starts.size(), 8U);
+        group.crash(static_cast<std::size_t>(group.leader()));
+        group.readReportsAfter(seconds(delay));
+        group.run(seconds(25));
+        group.expectNothingRepeated(std::to_string(delay) + " s");
+        EXPECT_EQ(group.workers.starts.size(), 8U) << delay;
+        EXPECT_EQ(group.phase(10), job_phase::completed) << delay;
+    }
+}
+
 // What a new incarnation has started on a request for the earlier one is not started elsewhere.
 TEST(run_once, keepsWhatANewIncarnationHasStarted)
 {
