platform: Send a restarted worker nothing meant for its earlier process

Callers saw tasks run twice, or again after they were done, when workers restarted under their ids while requests waited in a busy process.

Cause: requests name only the id of a worker. A request for the earlier process that waited for a free connection, or was repeated after its connection had ended, opened a new connection to the address, and the new process carried it out: a start began a run that nobody expected there, a renewal with a cursor had it forget ends that nobody had read.

Change: a connection leads to one process as long as it is open. The HTTP client of a worker no longer connects again by itself.

--- a/Source/Http/http_client.cxx
+++ b/Source/Http/http_client.cxx
@@ -100,14 +100,19 @@
         const steady_time deadline = std::chrono::steady_clock::now() + timeout;
         const bool reused = isOpen();
         error_code error;
+        if (!reused && m_connectedBefore && !m_options.reconnects) {
+            drop();
+            co_return failureOf(asio::error::not_connected, false, false);
+        }
         if (!reused) {
             error = co_await connect(deadline);
             if (error) {
-                close();
+                drop();
                 co_return failureOf(error, false, false);
             }
         }
         m_used = true;
+        m_connectedBefore = true;
         m_connection->lowestLayer().expires_at(deadline);
         http::request<http::string_body> message(http::string_to_verb(request.method),
                                                  request.target, 11);
@@ -122,7 +127,7 @@
         co_await asio::async_write(m_connection->stream(), asio::buffer(text),
                                    asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            close();
+            drop();
             co_return failureOf(error, true, reused);
         }
         http::response_parser<http::string_body> parser;
@@ -135,7 +140,7 @@
         // A body that is delimited only by the end of the connection may be truncated.
         const bool hasKnownLength = error || !parser.need_eof();
         if (error || !hasKnownLength) {
-            close();
+            drop();
             co_return failureOf(error ? error : make_error_code(http::error::partial_message), true,
                                 reused);
         }
@@ -145,7 +150,7 @@
         response.headers = detail::plainHeaders(received.base());
         response.body = std::move(received.body());
         if (!received.keep_alive() || m_buffer.size() > 0) {
-            close();
+            drop();
         }
         co_return response;
     }
@@ -163,16 +168,22 @@
     }
 
     void close() override
+    {
+        drop();
+        m_connectedBefore = false;
+    }
+
+private:
+    void drop()
     {
         m_connection.reset();
         m_buffer.clear();
         m_used = false;
     }
 
-private:
     asio::awaitable<error_code> connect(steady_time deadline)
     {
-        close();
+        drop();
         error_code error;
         m_connection = std::make_unique<Stream>(m_executor, m_options);
         const tcp::endpoint endpoint(asio::ip::make_address(m_options.server.ip, error),
@@ -220,6 +231,8 @@
     std::unique_ptr<Stream> m_connection;
     beast::flat_buffer m_buffer;
     bool m_used = false;
+    // An exchange has used a connection since close() was last called.
+    bool m_connectedBefore = false;
 };
 
 } // namespace
--- a/Source/Http/http_client.h
+++ b/Source/Http/http_client.h
@@ -16,6 +16,9 @@
     host_address server;
     std::string certificateAuthorityFile;
     std::size_t maximumBodyBytes = 16ULL << 20U;
+    // Whether an exchange opens a new connection when the one of an earlier exchange has ended.
+    // Otherwise it then fails without sending anything, until close() has been called.
+    bool reconnects = true;
 };
 
 // One connection to an HTTP server, opened by the first exchange and reopened after a failure.
