tests: Let only the incarnation that is meant carry requests out

relays.repeatNothingWhileWorkersRestart stayed red since the workers of the tests carried out requests that had waited in a control process until their worker had restarted.

--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -185,7 +185,7 @@
 }
 
 std::variant<fake_worker *, worker_response>
-fake_workers::findTarget(const worker_call_target &target)
+fake_workers::findTarget(const worker_call_target &target, bool reportsOnly)
 {
     for (auto &[id, worker] : m_workers) {
         if (worker.record.address != target.address) {
@@ -194,6 +194,9 @@
         if (worker.record.incarnation.id != target.incarnation.id) {
             return worker_response{worker_call_result::wrongIncarnation, clockOf(worker)};
         }
+        if (worker.record.incarnation != target.incarnation && !reportsOnly) {
+            return worker_response{worker_call_result::wrongIncarnation, std::nullopt};
+        }
         finishDueRuns(worker);
         if (target.fencingToken < worker.fencingToken) {
             return worker_response{worker_call_result::staleFencingToken, clockOf(worker)};
@@ -335,13 +338,18 @@
 fake_workers::renewLease(worker_call_target target, renew_lease_request request)
 {
     co_await m_clock.sleepFor(callDuration);
-    const steady_time until = m_clock.now() + request.wait;
+    steady_time until = m_clock.now() + request.wait;
     while (true) {
-        const auto reached = findTarget(target);
+        const auto reached = findTarget(target, true);
         if (const auto *refusal = std::get_if<worker_response>(&reached)) {
             co_return *refusal;
         }
         fake_worker &worker = *std::get<fake_worker *>(reached);
+        if (worker.record.incarnation != target.incarnation) {
+            // Another incarnation only reports.
+            request = {};
+            until = m_clock.now();
+        }
         if (worker.unreachable) {
             co_await m_clock.sleepFor(responseTimeout + request.wait);
             co_return worker_response{worker_call_result::unanswered, std::nullopt};
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -145,8 +145,10 @@
     {}
 
 private:
-    // The worker at the target's address, or the refusal of the call.
-    std::variant<fake_worker *, worker_response> findTarget(const worker_call_target &target);
+    // The worker at the target's address, or the refusal of the call. Another incarnation of the
+    // worker takes only calls for a report.
+    std::variant<fake_worker *, worker_response> findTarget(const worker_call_target &target,
+                                                            bool reportsOnly = false);
     worker_time clockOf(const fake_worker &worker) const;
     worker_response executeStart(fake_worker &worker, const start_run_request &request,
                                  std::uint64_t fencingToken);
