jobs: Count a failure that is reported after its run was given up

A task was started once more than its queue allows (BUDGET) after a worker had been cut off.

Cause: the late end `failed` of a run that had been given up for the silence of its worker was acknowledged, but not counted.

Change: such an end is committed like a late `done`. It counts while the run is among the unexplained ones of its task, and takes it out of them, so that leaders that read the same end count it once. The end is processed before the worker counts as heard again, which explains the silence of the other runs.

--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -298,9 +298,14 @@
     const auto &jobs = state.context.machine.state().jobs;
     const auto job = jobs.find(end.key.task.job);
     const task_state *task = job == jobs.end() ? nullptr : findTask(job->second, end.key.task);
-    if (end.outcome != run_outcome::done || task == nullptr || task->done || !isOpen(job->second)) {
+    const bool isDecisive = end.outcome == run_outcome::done || end.outcome == run_outcome::failed;
+    if (!isDecisive || task == nullptr || task->done || !isOpen(job->second)) {
         return;
     }
+    // The end tells what became of the run.
+    std::erase_if(worker->silencedRuns, [&end](const silenced_run &silenced) {
+        return silenced.key == end.key;
+    });
     const auto pending = std::find_if(state.pendingEnds.begin(), state.pendingEnds.end(),
                                       [&end](const end_runs::run_end &one) {
                                           return one.key == end.key;
@@ -309,14 +314,15 @@
     logEvent(log_part::scheduler, "late-end",
              {{"run", toText(end.key)},
               {"worker", worker->record.incarnation.id},
+              {"outcome", toText(end.outcome)},
               {"given_up_as", isQueued ? toText(pending->outcome) : "committed"},
               {"last_run", task->lastRun}});
     ++state.context.metricsRegistry.at("mango_late_ends_total");
     if (isQueued) {
-        pending->outcome = run_outcome::done;
+        pending->outcome = end.outcome;
         pending->checkpoint = end.checkpoint;
     } else {
-        state.pendingEnds.push_back({end.key, run_outcome::done, end.checkpoint, {}});
+        state.pendingEnds.push_back({end.key, end.outcome, end.checkpoint, {}});
     }
     wakeScheduler(state);
 }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -385,8 +385,8 @@
 void queueRunEnd(dispatch_state &state, const tracked_worker_handle &worker, tracked_run &run,
                  run_outcome outcome, const std::string &checkpoint);
 
-// Records that a run was done that has been given up before: the report arrived late. The task then
-// counts as done, and its newer runs are stopped.
+// Records that a run was done or has failed that has been given up before: the report arrived late.
+// A task that is done has its newer runs stopped; a failure counts as an attempt.
 void recordLateEnd(dispatch_state &state, const tracked_worker_handle &worker,
                    const reported_end &end);
 
--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -151,7 +151,6 @@
     const metered_work section(&state->context.work, work_kind::reports);
     const steady_time now = state->context.clock.now();
     recordClock(*worker, report.clock, now);
-    recordWorkerHeardAgain(state, worker);
     if (!worker->answered) {
         worker->answered = true;
         // An earlier leader may have granted a lease of the same length just before.
@@ -168,6 +167,7 @@
     for (const reported_end &end : report.ended) {
         processReportedEnd(state, worker, end);
     }
+    recordWorkerHeardAgain(state, worker);
     for (const reported_run &row : report.running) {
         processReportedRun(state, worker, report, row);
     }
--- a/Source/Jobs/job_records.cxx
+++ b/Source/Jobs/job_records.cxx
@@ -79,6 +79,42 @@
     }
 }
 
+void countFailure(job_state &job, const task_key &key)
+{
+    task_state &holder =
+            failureCountingTask(job.occurrences[key.occurrence], job.graph.steps[key.step], key);
+    ++holder.failures;
+    if (holder.failures >= job.queueParameters.maximumFailures) {
+        fail(job, {job_failure::taskFailures, key, holder.failures});
+    }
+}
+
+// Records what became of a run that was given up before. A failure may be reported to several
+// leaders, so it counts only while the run is among the unexplained ones.
+bool endLate(job_state &job, const run_key &key, run_outcome outcome)
+{
+    task_state *task = findTask(job, key.task);
+    const job_step &step = job.graph.steps[key.task.step];
+    if (!isOpen(job) || step.longRunning || task->done || key.run > task->lastRun) {
+        return false;
+    }
+    const bool isUnexplained = std::erase_if(task->unexplained,
+                                             [&key](const active_run &one) {
+                                                 return one.run == key.run;
+                                             })
+                               > 0;
+    if (outcome == run_outcome::done) {
+        markDone(job.occurrences[key.task.occurrence], step, key.task);
+        updatePhase(job);
+        return true;
+    }
+    if (outcome != run_outcome::failed || !isUnexplained) {
+        return false;
+    }
+    countFailure(job, key.task);
+    return true;
+}
+
 // Keeps the newest runs of which nothing is known, so that the state stays bounded.
 void addUnexplained(task_state &task, const active_run &run)
 {
@@ -189,13 +225,7 @@
     const job_step &step = job.graph.steps[key.task.step];
     job_occurrence &occurrence = job.occurrences[key.task.occurrence];
     if (run == task->active.end()) {
-        const bool isLateEnd = outcome == run_outcome::done && isOpen(job) && !step.longRunning
-                               && !task->done && key.run <= task->lastRun;
-        if (isLateEnd) {
-            markDone(occurrence, step, key.task);
-            updatePhase(job);
-        }
-        return isLateEnd;
+        return endLate(job, key, outcome);
     }
     const active_run ended = *run;
     task->active.erase(run);
@@ -205,11 +235,7 @@
     if (outcome == run_outcome::done && !step.longRunning) {
         markDone(occurrence, step, key.task);
     } else if (outcome == run_outcome::failed && !step.longRunning && !task->done) {
-        task_state &holder = failureCountingTask(occurrence, step, key.task);
-        ++holder.failures;
-        if (holder.failures >= job.queueParameters.maximumFailures) {
-            fail(job, {job_failure::taskFailures, key.task, holder.failures});
-        }
+        countFailure(job, key.task);
     } else if (outcome == run_outcome::workerCrashed) {
         addCrash(job, *task, key.task, blame);
     } else if (outcome == run_outcome::workerSilent) {
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -192,8 +192,9 @@
 
 // Records the end of a run and updates the phase of the job. Returns false when that changes
 // nothing, as when the run was not active; but a run that was given up before and turns out to be
-// done still completes its task. A non-empty checkpoint replaces that of the task. `blame` tells,
-// for a run whose worker crashed, whether it may be the cause.
+// done still completes its task, and one that turns out to have failed counts as an attempt. A
+// non-empty checkpoint replaces that of the task. `blame` tells, for a run whose worker crashed,
+// whether it may be the cause.
 bool endRun(job_state &job, const run_key &key, run_outcome outcome, const std::string &checkpoint,
             crash_blame blame = crash_blame::possible);
 
--- a/Tests/Unit/fleet_state_test.cxx
+++ b/Tests/Unit/fleet_state_test.cxx
@@ -82,6 +82,22 @@
     EXPECT_EQ(phaseOf(state, 1), job_phase::failed);
 }
 
+// Each leader that reads the report of a failure has it counted, and it counts once.
+TEST(fleet_state, countsALateFailureOfAGivenUpRunOnce)
+{
+    fleet_state state;
+    apply(state, submit_job{1, makeQueueParameters(2), makeGraph(1)});
+    applyBeginRun(state, makeRunKey(0, 1));
+    applyEndRun(state, makeRunKey(0, 1), run_outcome::workerSilent);
+    for (int repeat = 0; repeat < 3; ++repeat) {
+        applyEndRun(state, makeRunKey(0, 1), run_outcome::failed);
+        EXPECT_EQ(findTask(state.jobs.at(1), makeRunKey(0, 1).task)->failures, 1U);
+    }
+    applyBeginRun(state, makeRunKey(0, 2));
+    applyEndRun(state, makeRunKey(0, 2), run_outcome::failed);
+    EXPECT_EQ(phaseOf(state, 1), job_phase::failed);
+}
+
 TEST(fleet_state, keepsTheCheckpointWhenALaterRunHasNone)
 {
     fleet_state state;
--- a/Tests/Unit/run_once_test.cxx
+++ b/Tests/Unit/run_once_test.cxx
@@ -144,6 +144,24 @@
     EXPECT_EQ(group.phase(10), job_phase::completed);
 }
 
+// The end of a run that failed on a worker that was given up is acknowledged, so it counts as one
+// of the attempts that a task has.
+TEST(run_once, countsFailuresOnAWorkerThatWasGivenUp)
+{
+    slow_leader_fleet group(1);
+    group.workers.runDuration = seconds(3);
+    group.workers.at("w0").failsEveryRun = true;
+    group.submit(10, fleet_group::oneStep(1));
+    group.run(milliseconds(500));
+    ASSERT_EQ(group.workers.starts.size(), 1U);
+    group.workers.at("w0").unreachable = true;
+    group.run(seconds(9));
+    group.workers.at("w0").unreachable = false;
+    group.run(seconds(40));
+    EXPECT_EQ(group.workers.starts.size(), 3U);
+    EXPECT_EQ(group.phase(10), job_phase::failed);
+}
+
 // A leader that has just begun and gets its first answers late takes its workers for silent, though
 // they have listed what was done there.
 TEST(run_once, keepsRunsOfWorkersThatHaveNotAnsweredANewLeader)
