scheduler: Confirm no repeated heartbeat while the first is being committed

A worker that announced its drain twice under one sequence number got a confirmation for the second call while the commit of the first one was in progress, and when that failed nobody knew that it drains.

Cause: the sequence number counted as handled before the commit.

Change: it counts once the record is committed.

Failed before: relays.confirmNoHeartbeatThatIsNotCommitted (accepted by a leader that was cut off from all others).

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -208,9 +208,11 @@
                     "mango_announcements_ignored_total{reason=\"late\"}");
             co_return responseOf(fleet_outcome::accepted);
         }
-        worker->lastSequence = call.heartbeat.sequence;
     }
     if (known != committed.end() && known->second == record) {
+        if (const tracked_worker_handle worker = findWorker(*state, record.incarnation)) {
+            worker->lastSequence = call.heartbeat.sequence;
+        }
         co_return responseOf(fleet_outcome::accepted);
     }
     logEvent(log_part::scheduler, "worker-announced",
--- a/Tests/Unit/relay_test.cxx
+++ b/Tests/Unit/relay_test.cxx
@@ -332,6 +332,22 @@
               fleet_outcome::unavailable);
 }
 
+// A heartbeat was confirmed when it was sent again while the first one was still being committed,
+// in vain: nobody knew that the worker drains.
+TEST(relays, confirmNoHeartbeatThatIsNotCommitted)
+{
+    fleet_group group(3);
+    group.configure();
+    group.workers.add("w1");
+    group.announce("w1");
+    worker_heartbeat draining{group.workers.at("w1").record, 1000};
+    draining.record.draining = true;
+    const auto leading = static_cast<std::size_t>(group.leader());
+    group.isolate(leading);
+    group.sendHeartbeat(draining);
+    EXPECT_NE(group.call(leading, heartbeat_call{draining}).outcome, fleet_outcome::accepted);
+}
+
 // A round updates only a part of the offers of a large fleet; a worker that leaves is among them.
 TEST(large_fleet, startsNothingOnWorkersThatLeave)
 {
