control: Read a worker's reply before its tasks count as lost

Cause: the leader reported the tasks of a worker as lost, as their lease had run out, while it held the unread reply that told that they had finished.

Change: the reply is processed first. The handling of a response is a function of its own.

Failed before: worker_agent.readsAReplyBeforeItCountsTasksAsLost (reported as lost, not as finished).

--- a/Source/Control/worker_agent.cxx
+++ b/Source/Control/worker_agent.cxx
@@ -296,6 +296,23 @@
     }
 }
 
+bool handlePollResponse(leader_state &leader, worker_state &worker, const std::string &incarnation,
+                        const result<http_response, http_failure> &response)
+{
+    bool accepted = false;
+    if (!failed(response) && valueOf(response).status == 200) {
+        const auto reply = decodeReply(valueOf(response).body);
+        accepted = !failed(reply) && valueOf(reply).incarnation == incarnation
+                   && incarnation == worker.announced.incarnation;
+        if (accepted) {
+            processReply(leader, worker, valueOf(reply));
+        }
+    }
+    // Only after the reply, which may tell that a task has finished.
+    reportLostTasks(leader, worker);
+    return accepted;
+}
+
 asio::awaitable<void> runWorkerAgent(leader_handle leader, std::string name)
 {
     const control_timing &timing = leader->shared.settings.timing;
@@ -327,17 +344,7 @@
             metricsRegistry.at("mango_worker_call_bytes_total{direction=\"in\"}") +=
                     valueOf(response).body.size();
         }
-        reportLostTasks(*leader, worker);
-        bool accepted = false;
-        if (!failed(response) && valueOf(response).status == 200) {
-            const auto reply = decodeReply(valueOf(response).body);
-            accepted = !failed(reply) && valueOf(reply).incarnation == incarnation
-                       && incarnation == worker.announced.incarnation;
-            if (accepted) {
-                processReply(*leader, worker, valueOf(reply));
-            }
-        }
-        if (!accepted) {
+        if (!handlePollResponse(*leader, worker, incarnation, response)) {
             ++leader->shared.metricsRegistry.at("mango_worker_call_failures_total");
             co_await worker.wake.waitFor(retryDelay);
         } else {
--- a/Source/Control/worker_agent.h
+++ b/Source/Control/worker_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Control/leader_state.h"
+#include "Http/http_message.h"
 
 namespace mango {
 
@@ -15,6 +16,11 @@
 // Processes a worker's reply to a poll.
 void processReply(leader_state &leader, worker_state &worker, const agent_reply &reply);
 
+// Handles the response to a poll of the incarnation, and then reports the tasks as lost whose lease
+// has expired. Returns false when the response holds no reply of this incarnation.
+bool handlePollResponse(leader_state &leader, worker_state &worker, const std::string &incarnation,
+                        const result<http_response, http_failure> &response);
+
 // Reports the tasks of a worker as lost when their lease has expired.
 void reportLostTasks(leader_state &leader, worker_state &worker);
 
