platform: Acknowledge no end behind an unreadable one

Cause: an entry of the list of ends that could not be read was skipped, and the next one acknowledged, so that the worker dropped both. The run counted as lost afterwards, and its task ran again though it may have been done.

Change: ends behind such an entry count, but carry no number to acknowledge. They are listed again and acknowledged once it can be read.

Failed before: platform_codec.marksEndsBehindAMalformedRowAsNotToBe- Acknowledged (the end behind it was number 60, as listed). run_once.acknowledgesNoEndBehindOneThatCouldNotBeRead plays it.

--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -98,10 +98,11 @@
 void processReportedEnd(const dispatch_handle &state, const tracked_worker_handle &worker,
                         const reported_end &end)
 {
-    if (end.number <= worker->lastEndReceived) {
+    const bool mayAcknowledge = end.number > 0;
+    if (mayAcknowledge && end.number <= worker->lastEndReceived) {
         return;
     }
-    worker->lastEndReceived = end.number;
+    worker->lastEndReceived = std::max(worker->lastEndReceived, end.number);
     tracked_run *run = findRun(state, worker, end.key);
     if (run == nullptr || run->endPending) {
         recordLateEnd(*state, worker, end);
@@ -112,7 +113,9 @@
         queueRunEnd(*state, worker, *run, end.outcome,
                     end.checkpoint.empty() ? run->checkpoint : end.checkpoint);
     }
-    state->pendingAcknowledgements.push_back({worker, end.number});
+    if (mayAcknowledge) {
+        state->pendingAcknowledgements.push_back({worker, end.number});
+    }
 }
 
 // Ends tracked runs that a complete report does not contain: they have ended or never started.
