--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -101,10 +101,11 @@
 void processReportedEnd(const dispatch_handle &state, const tracked_worker_handle &worker,
                         const reported_end &end)
 {
-    if (end.number <= worker->lastEndReceived) {
+    const bool mayAcknowledge = end.number > 0;
+    if (mayAcknowledge && end.number <= worker->lastEndReceived) {
         return;
     }
-    worker->lastEndReceived = end.number;
+    worker->lastEndReceived = std::max(worker->lastEndReceived, end.number);
     tracked_run *run = findRun(state, worker, end.key);
     if (run == nullptr || run->endPending) {
         recordLateEnd(*state, worker, end);
@@ -115,7 +116,9 @@
         queueRunEnd(*state, worker, *run, end.outcome,
                     end.checkpoint.empty() ? run->checkpoint : end.checkpoint);
     }
-    state->pendingAcknowledgements.push_back({worker, end.number});
+    if (mayAcknowledge) {
+        state->pendingAcknowledgements.push_back({worker, end.number});
+    }
 }
 
 // Ends tracked runs that a complete report does not contain: they have ended or never started.
@@ -158,7 +161,6 @@
         markOfferChanged(*state, worker);
     }
     recordClock(*worker, report.clock, now);
-    recordWorkerHeardAgain(state, worker);
     if (!worker->answered) {
         worker->answered = true;
         // An earlier leader may have granted a lease of the same length just before.
@@ -175,6 +177,7 @@
     for (const reported_end &end : report.ended) {
         processReportedEnd(state, worker, end);
     }
+    recordWorkerHeardAgain(state, worker);
     for (const reported_run &row : report.running) {
         processReportedRun(state, worker, report, row);
     }
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -100,6 +100,8 @@
     bool cursorsLast = true;
     // An end counts as acknowledged once it is in the answer to a call.
     bool listedEndsStay = false;
+    // Reports hold a malformed row instead of the end with this number; 0 for none.
+    std::uint64_t malformedEnd = 0;
     std::vector<recorded_start> starts;
     // The share of full speed, in percent, that each run was last set to.
     std::map<run_key, std::uint32_t> throttles;
@@ -145,8 +147,10 @@
     {}
 
 private:
-    // The worker at the target's address, or the refusal of the call.
-    std::variant<fake_worker *, worker_response> findTarget(const worker_call_target &target);
+    // The worker at the target's address, or the refusal of the call. Another incarnation of the
+    // worker takes only calls for a report.
+    std::variant<fake_worker *, worker_response> findTarget(const worker_call_target &target,
+                                                            bool reportsOnly = false);
     worker_time clockOf(const fake_worker &worker) const;
     worker_response executeStart(fake_worker &worker, const start_run_request &request,
                                  std::uint64_t fencingToken);
--- a/Tests/Unit/run_once_test.cxx
+++ b/Tests/Unit/run_once_test.cxx
@@ -32,6 +32,9 @@
     void readReportsAfter(milliseconds delay)
     {
         for (const auto &node : nodes) {
+            if (!node) {
+                continue;
+            }
             node->workers.drawReadDelay = [delay] {
                 return delay;
             };
@@ -141,6 +144,63 @@
     EXPECT_EQ(group.phase(10), job_phase::completed);
 }
 
+// The end of a run that failed on a worker that was given up is acknowledged, so it counts as one
+// of the attempts that a task has.
+TEST(run_once, countsFailuresOnAWorkerThatWasGivenUp)
+{
+    slow_leader_fleet group(1);
+    group.workers.runDuration = seconds(3);
+    group.workers.at("w0").failsEveryRun = true;
+    group.submit(10, fleet_group::oneStep(1));
+    group.run(milliseconds(500));
+    ASSERT_EQ(group.workers.starts.size(), 1U);
+    group.workers.at("w0").unreachable = true;
+    group.run(seconds(9));
+    group.workers.at("w0").unreachable = false;
+    group.run(seconds(40));
+    EXPECT_EQ(group.workers.starts.size(), 3U);
+    EXPECT_EQ(group.phase(10), job_phase::failed);
+}
+
+// A leader that has just begun and gets its first answers late takes its workers for silent, though
+// they have listed what was done there.
+TEST(run_once, keepsRunsOfWorkersThatHaveNotAnsweredANewLeader)
+{
+    for (const int duration : {1500, 4000}) {
+        for (const int delay : {2, 6, 7}) {
+            slow_leader_fleet group(4);
+            group.workers.runDuration = milliseconds(duration);
+            group.submit(10, fleet_group::oneStep(8));
+            group.run(seconds(1));
+            ASSERT_EQ(group.workers.starts.size(), 8U);
+            group.crash(static_cast<std::size_t>(group.leader()));
+            group.readReportsAfter(seconds(delay));
+            group.run(seconds(25));
+            const std::string when =
+                    std::to_string(duration) + " ms, " + std::to_string(delay) + " s";
+            group.expectNothingRepeated(when);
+            EXPECT_EQ(group.workers.starts.size(), 8U) << when;
+            EXPECT_EQ(group.phase(10), job_phase::completed) << when;
+        }
+    }
+}
+
+// An end that could not be read is read later, and not dropped for those behind it.
+TEST(run_once, acknowledgesNoEndBehindOneThatCouldNotBeRead)
+{
+    slow_leader_fleet group(1);
+    group.workers.malformedEnd = 2;
+    group.submit(10, fleet_group::oneStep(4));
+    group.run(seconds(3));
+    ASSERT_EQ(group.workers.at("w0").ended.size(), 3U);
+    EXPECT_EQ(group.workers.at("w0").ended.front().number, 2U);
+    EXPECT_EQ(group.phase(10), job_phase::running);
+    group.workers.malformedEnd = 0;
+    group.run(seconds(2));
+    EXPECT_EQ(group.workers.starts.size(), 4U);
+    EXPECT_EQ(group.phase(10), job_phase::completed);
+}
+
 // What a new incarnation has started on a request for the earlier one is not started elsewhere.
 TEST(run_once, keepsWhatANewIncarnationHasStarted)
 {
