relays: Send a call without copying its message twice more

Cause: a renewal passed through two coroutines of 1.2 and 1.0 KB before the call itself, each with a copy of the message; such frames miss the allocator's cache.

Change: the message is built once, where the call is made, and one coroutine waits for its answer. What each failure of a relay means stays as it was (relayed_worker_client.takesNoStrangeAnswerForACallThatWasNeverSent, relays.*).

--- a/Source/Dispatch/relayed_worker_client.cxx
+++ b/Source/Dispatch/relayed_worker_client.cxx
@@ -157,43 +157,59 @@
     found->second.suspendedUntil = now + relayBackoff;
 }
 
-asio::awaitable<worker_call_answer>
-relayed_worker_client::sendThrough(host_address address, worker_call request, steady_span timeout)
+call relayed_worker_client::makeCall(worker_call_target target,
+                                     decltype(worker_call::request) request)
 {
     ++m_relayedCalls;
-    request.sentAt =
+    const auto sentAt =
             std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch());
-    const std::shared_ptr<rpc_client> client = m_relays.at(address).client;
-    const call message{0, std::move(request)};
-    auto answered = co_await client->invoke(message, timeout);
-    if (failed(answered)) {
+    return {0, worker_call{std::move(target), sentAt, std::move(request)}};
+}
+
+worker_call_answer relayed_worker_client::takeAnswer(const host_address &address,
+                                                     call_outcome outcome)
+{
+    if (failed(outcome)) {
         suspend(address);
-        const bool neverSent = failureOf(answered).reason == network_failure::kind::connectFailed;
-        co_return relayFailure(neverSent ? worker_call_result::neverSent
-                                         : worker_call_result::unanswered);
+        const bool neverSent = failureOf(outcome).reason == network_failure::kind::connectFailed;
+        return relayFailure(neverSent ? worker_call_result::neverSent
+                                      : worker_call_result::unanswered);
     }
-    auto *received = std::get_if<worker_call_answer>(&valueOf(answered));
+    auto *received = std::get_if<worker_call_answer>(&valueOf(outcome));
     if (received == nullptr) {
         suspend(address);
-        co_return relayFailure(worker_call_result::unanswered);
+        return relayFailure(worker_call_result::unanswered);
     }
     const auto *response = std::get_if<worker_response>(&received->answer);
     if (response != nullptr && response->relayFailed) {
         suspend(address);
     }
-    co_return std::move(*received);
+    return std::move(*received);
 }
 
 asio::awaitable<worker_response> relayed_worker_client::sendOrder(host_address address,
-                                                                  worker_call request)
+                                                                  call message)
 {
+    const std::shared_ptr<rpc_client> client = m_relays.at(address).client;
     // The relay may first wait for a free connection to the worker.
-    const worker_call_answer received = co_await sendThrough(
-            std::move(address), std::move(request), m_responseTimeout * 2 + relayHopTimeout);
+    auto outcome = co_await client->invoke(message, m_responseTimeout * 2 + relayHopTimeout);
+    const worker_call_answer received = takeAnswer(address, std::move(outcome));
     const auto *response = std::get_if<worker_response>(&received.answer);
     co_return response == nullptr ? worker_response{} : *response;
 }
 
+asio::awaitable<std::variant<worker_report, worker_response>>
+relayed_worker_client::sendRenewal(host_address address, call message, steady_span timeout)
+{
+    const std::shared_ptr<rpc_client> client = m_relays.at(address).client;
+    auto outcome = co_await client->invoke(message, timeout);
+    worker_call_answer received = takeAnswer(address, std::move(outcome));
+    if (auto *report = std::get_if<worker_report>(&received.answer)) {
+        co_return std::move(*report);
+    }
+    co_return std::get<worker_response>(received.answer);
+}
+
 asio::awaitable<worker_response> relayed_worker_client::start(worker_call_target target,
                                                               start_run_request request)
 {
@@ -201,8 +217,7 @@
     if (address.port == 0) {
         return m_direct.start(std::move(target), std::move(request));
     }
-    worker_call message{std::move(target), {}, std::move(request)};
-    return sendOrder(std::move(address), std::move(message));
+    return sendOrder(std::move(address), makeCall(std::move(target), std::move(request)));
 }
 
 asio::awaitable<worker_response> relayed_worker_client::stop(worker_call_target target, run_key key)
@@ -211,8 +226,7 @@
     if (address.port == 0) {
         return m_direct.stop(std::move(target), key);
     }
-    worker_call message{std::move(target), {}, stop_run_request{key}};
-    return sendOrder(std::move(address), std::move(message));
+    return sendOrder(std::move(address), makeCall(std::move(target), stop_run_request{key}));
 }
 
 asio::awaitable<worker_response> relayed_worker_client::throttle(worker_call_target target,
@@ -222,25 +236,20 @@
     if (address.port == 0) {
         return m_direct.throttle(std::move(target), key, percent);
     }
-    worker_call message{std::move(target), {}, throttle_run_request{key, percent}};
-    return sendOrder(std::move(address), std::move(message));
+    return sendOrder(std::move(address),
+                     makeCall(std::move(target), throttle_run_request{key, percent}));
 }
 
 asio::awaitable<std::variant<worker_report, worker_response>>
 relayed_worker_client::renewLease(worker_call_target target, renew_lease_request request)
 {
-    const host_address address = relayOf(target.incarnation.id);
+    host_address address = relayOf(target.incarnation.id);
     if (address.port == 0) {
-        co_return co_await m_direct.renewLease(std::move(target), request);
+        return m_direct.renewLease(std::move(target), request);
     }
     // The relay sends a renewal again when the worker has closed the connection.
     const steady_span timeout = request.wait + m_responseTimeout * 2 + relayHopTimeout;
-    worker_call message{std::move(target), {}, request};
-    worker_call_answer received = co_await sendThrough(address, std::move(message), timeout);
-    if (auto *report = std::get_if<worker_report>(&received.answer)) {
-        co_return std::move(*report);
-    }
-    co_return std::get<worker_response>(received.answer);
+    return sendRenewal(std::move(address), makeCall(std::move(target), request), timeout);
 }
 
 void relayed_worker_client::closeConnections(const worker_incarnation &incarnation)
--- a/Source/Dispatch/relayed_worker_client.h
+++ b/Source/Dispatch/relayed_worker_client.h
@@ -53,9 +53,13 @@
         steady_time suspendedUntil{};
     };
 
-    boost::asio::awaitable<worker_call_answer>
-    sendThrough(host_address address, worker_call request, steady_span timeout);
-    boost::asio::awaitable<worker_response> sendOrder(host_address address, worker_call request);
+    // The call that asks a relay to send a request to the worker.
+    call makeCall(worker_call_target target, decltype(worker_call::request) request);
+    boost::asio::awaitable<worker_response> sendOrder(host_address address, call message);
+    boost::asio::awaitable<std::variant<worker_report, worker_response>>
+    sendRenewal(host_address address, call message, steady_span timeout);
+    // The answer of a relay; a relay that failed is suspended.
+    worker_call_answer takeAnswer(const host_address &address, call_outcome outcome);
     void suspend(const host_address &address);
 
     boost::asio::any_io_executor m_executor;
