--- a/Tests/Benchmark/leader_benchmark.cxx
+++ b/Tests/Benchmark/leader_benchmark.cxx
@@ -428,6 +428,13 @@
     return std::chrono::duration<double, std::milli>(span).count();
 }
 
+// What the leader did per second of a phase.
+struct phase_totals
+{
+    double usedMilliseconds = 0;
+    double starts = 0;
+};
+
 // Prints the work of the leader per second of a phase.
 class phase_report
 {
@@ -442,7 +449,7 @@
         , m_work(read())
     {}
 
-    void print(const std::string &phase, double span)
+    phase_totals print(const std::string &phase, double span)
     {
         const process &leader = m_group.leader();
         const auto starts = static_cast<double>(m_group.fleet.starts - m_starts) / span;
@@ -464,6 +471,7 @@
                       << (isTime ? " ms/s\n" : " /s\n");
         }
         std::cout << "    other " << used - metered << " ms/s\n" << std::flush;
+        return {used, starts};
     }
 
 private:
@@ -493,8 +501,9 @@
 } // namespace
 
 // Usage: leader_benchmark [workers [seconds]]. Plays the standing tasks and the turnover of a large
-// service, and prints the processor time of the leader by kind of work. Times of work in metrics
-// are exported once a second, so that the kinds are a second late.
+// service, and prints the processor time of the leader by kind of work, and that of a start with
+// its end. Times of work in metrics are exported once a second, so that the kinds are a second
+// late.
 int main(int argc, char **argv)
 {
     startLogging("error");
@@ -514,7 +523,7 @@
     group.run(seconds(5));
     phase_report idle(group);
     group.run(seconds(span));
-    idle.print("idle", span);
+    const phase_totals still = idle.print("idle", span);
     double largeDue = 0;
     double smallDue = 0;
     const auto turnover = [&](int count) {
@@ -534,7 +543,9 @@
     turnover(4);
     phase_report peak(group);
     turnover(span);
-    peak.print("peak", span);
+    const phase_totals busy = peak.print("peak", span);
+    std::cout << "a start with its end: "
+              << (busy.usedMilliseconds - still.usedMilliseconds) / busy.starts << " ms\n";
     // Coroutines of all processes refer to each other, so nothing is destroyed.
     std::cout.flush();
     std::quick_exit(0);
