--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -164,7 +164,7 @@
 }};
 constexpr std::array<const char *, roundPartCount - 1> partNames{"workers", "offers", "collect",
                                                                  "place",   "hold",   "stragglers"};
-constexpr std::array<const char *, roundEndCount> endNames{"done", "budget", "starts", "urgent"};
+constexpr std::array<const char *, roundEndCount> endNames{"done", "budget", "starts"};
 
 void exportWork(metrics_registry &metrics, const round_work &work)
 {
--- a/Source/Dispatch/round_work.h
+++ b/Source/Dispatch/round_work.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <cstddef>
 #include <cstdint>
 
 #include "Common/clock_source.h"
@@ -23,25 +22,9 @@
 };
 inline constexpr std::size_t roundPartCount = 7;
 
-// Why a round placed no more steps: there are none, it has taken too long, it has decided as many
-// starts as it may, or only less urgent steps are left.
-enum class round_end : std::uint8_t { done, budget, starts, urgent };
-inline constexpr std::size_t roundEndCount = 4;
-
-// What a round has done before it comes to its next step.
-struct round_progress
-{
-    steady_span elapsed{0};
-    std::size_t starts = 0;
-    // Why the round before it ended.
-    round_end lastEnd = round_end::done;
-};
-
-// Returns why the round ends before its next step, which comes in the order of urgency; `done` when
-// it does not. Starts are committed once their round is over. After a round that was too short for
-// all steps, the next one therefore ends as soon as it has decided the starts of the highest
-// priority; the one after that goes on with the others, so that these wait for one short round.
-round_end endBefore(std::uint32_t nextPriority, const round_progress &progress);
+// Why a round placed no more steps.
+enum class round_end : std::uint8_t { done, budget, starts };
+inline constexpr std::size_t roundEndCount = 3;
 
 // What scheduling rounds have done, by time and by count.
 struct round_work
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -37,6 +37,12 @@
 constexpr auto estimateLifetime = std::chrono::milliseconds(100);
 // How often leases and silence of all workers are checked.
 constexpr auto workerCheckInterval = std::chrono::milliseconds(50);
+// A round that has placed so many tasks ends. Sending their start requests must not delay lease
+// renewals and heartbeats for long.
+constexpr std::size_t maximumStartsPerRound = 200;
+// A round that has looked for workers for so long ends; the most urgent steps come first in the
+// next one.
+constexpr auto roundBudget = std::chrono::milliseconds(20);
 
 bool dependenciesMet(const job_step &step, const std::vector<tracked_step> &steps)
 {
@@ -226,20 +232,23 @@
     enterPart(state.roundSummary.work, part, state.context.clock.now());
 }
 
-// Places the tasks of the steps in their order, until the round ends.
+// Places the tasks of the steps in their order, until the round has taken too long or has placed
+// enough.
 round_end placeSteps(const dispatch_handle &state, round_offers &round,
                      const std::vector<ready_step> &ready, steady_time roundBegin,
-                     round_end lastEnd, begin_runs &started)
+                     begin_runs &started)
 {
     round_work &work = state->roundSummary.work;
     work.stepsReady += ready.size();
     round_end end = round_end::done;
     std::uint64_t tried = 0;
     for (const ready_step &one : ready) {
-        const round_progress progress{state->context.clock.now() - roundBegin, started.runs.size(),
-                                      lastEnd};
-        end = endBefore(one.urgency.priority, progress);
-        if (end != round_end::done) {
+        if (started.runs.size() >= maximumStartsPerRound) {
+            end = round_end::starts;
+            break;
+        }
+        if (state->context.clock.now() - roundBegin > roundBudget) {
+            end = round_end::budget;
             break;
         }
         ++tried;
@@ -270,7 +279,6 @@
 {
     round_offers round;
     steady_span lastRound{0};
-    round_end lastEnd = round_end::done;
     while (state->active) {
         if (!state->changed) {
             co_await state->wake.waitFor(maximumRoundInterval);
@@ -293,8 +301,8 @@
         beginPart(*state, round_part::collect);
         const std::vector<ready_step> ready = collectReadySteps(*state);
         beginPart(*state, round_part::place);
-        lastEnd = placeSteps(state, round, ready, roundBegin, lastEnd, started);
-        state->changed = state->changed || lastEnd != round_end::done;
+        const round_end end = placeSteps(state, round, ready, roundBegin, started);
+        state->changed = state->changed || end != round_end::done;
         beginPart(*state, round_part::stragglers);
         handleStragglers(state, round, started);
         beginPart(*state, round_part::outside);
