tests: Expire timers of the fake clock that are due together in the order of their begin

Cause: timers that were due at the same time expired in the order of their addresses. They now expire in the order in which their waits began.

--- a/Tests/Fakes/fake_clock.cxx
+++ b/Tests/Fakes/fake_clock.cxx
@@ -6,6 +6,13 @@
 
 namespace mango::test {
 
+namespace {
+
+// The number of waits that have begun, on all clocks.
+std::uint64_t waitCount = 0;
+
+} // namespace
+
 class fake_clock::fake_timer final : public wait_timer
 {
 public:
@@ -24,6 +31,7 @@
         boost::system::error_code ignored;
         m_expired = false;
         m_dueAt = m_clock.m_now + std::max(span, steady_span(0));
+        m_number = ++waitCount;
         m_clock.m_timers.insert({m_dueAt, this});
         m_wait.expires_at(steady_time::max());
         co_await m_wait.async_wait(
@@ -37,6 +45,12 @@
         m_wait.cancel();
     }
 
+    // Tells timers that are due at the same time apart: the one whose wait began first is first.
+    [[nodiscard]] std::uint64_t number() const
+    {
+        return m_number;
+    }
+
     void expire()
     {
         m_expired = true;
@@ -47,6 +61,7 @@
     fake_clock &m_clock;
     boost::asio::steady_timer m_wait;
     steady_time m_dueAt{};
+    std::uint64_t m_number = 0;
     bool m_expired = false;
 };
 
@@ -84,8 +99,13 @@
     const steady_time end = m_now + span;
     runReady();
     while (!m_timers.empty() && m_timers.begin()->first <= end) {
-        const auto [expiresAt, timer] = *m_timers.begin();
-        m_timers.erase(m_timers.begin());
+        // The order of the set is that of addresses, which differ from run to run.
+        auto first = m_timers.begin();
+        for (auto at = first; at != m_timers.end() && at->first == first->first; ++at) {
+            first = at->second->number() < first->second->number() ? at : first;
+        }
+        const auto [expiresAt, timer] = *first;
+        m_timers.erase(first);
         m_now = std::max(m_now, expiresAt);
         timer->expire();
         runReady();
