platform: Acknowledge ends behind an unreadable one again

An unreadable row costs one run, as before. What is needed is a bound after which the row is passed over; that is open (docs/incidents/issue-29-twice-short.md).

--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -101,11 +101,10 @@
 void processReportedEnd(const dispatch_handle &state, const tracked_worker_handle &worker,
                         const reported_end &end)
 {
-    const bool mayAcknowledge = end.number > 0;
-    if (mayAcknowledge && end.number <= worker->lastEndReceived) {
+    if (end.number <= worker->lastEndReceived) {
         return;
     }
-    worker->lastEndReceived = std::max(worker->lastEndReceived, end.number);
+    worker->lastEndReceived = end.number;
     tracked_run *run = findRun(state, worker, end.key);
     if (run == nullptr || run->endPending) {
         recordLateEnd(*state, worker, end);
@@ -116,9 +115,7 @@
         queueRunEnd(*state, worker, *run, end.outcome,
                     end.checkpoint.empty() ? run->checkpoint : end.checkpoint);
     }
-    if (mayAcknowledge) {
-        state->pendingAcknowledgements.push_back({worker, end.number});
-    }
+    state->pendingAcknowledgements.push_back({worker, end.number});
 }
 
 // Ends tracked runs that a complete report does not contain: they have ended or never started.
--- a/Source/Fleet/worker_client.h
+++ b/Source/Fleet/worker_client.h
@@ -137,8 +137,7 @@
 // An ended run in a worker's report. The worker repeats it until it is acknowledged.
 struct reported_end
 {
-    // Position in the worker's list of ended runs, the value to acknowledge; 0 behind an entry that
-    // could not be parsed, since acknowledging this end would have the worker drop that entry.
+    // Position in the worker's list of ended runs, the value to acknowledge.
     std::uint64_t number = 0;
     run_key key;
     run_outcome outcome = run_outcome::done;
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -15,21 +15,6 @@
 // A longer lease is shortened to this.
 constexpr auto maximumLease = std::chrono::milliseconds(5000);
 
-void garbleEnd(worker_report &report, std::uint64_t number)
-{
-    const auto garbled = std::find_if(report.ended.begin(), report.ended.end(),
-                                      [number](const reported_end &end) {
-                                          return end.number == number;
-                                      });
-    if (garbled == report.ended.end()) {
-        return;
-    }
-    ++report.malformedRows;
-    for (auto behind = report.ended.erase(garbled); behind != report.ended.end(); ++behind) {
-        behind->number = 0;
-    }
-}
-
 } // namespace
 
 fake_workers::fake_workers(asio::any_io_executor executor, clock_source &clock)
@@ -390,7 +375,6 @@
             report.clock = clockOf(worker);
             report.startTime = worker.record.incarnation.startTime;
             report.ended = worker.ended;
-            garbleEnd(report, malformedEnd);
             for (const reported_end &end : worker.ended) {
                 if (listedEndsStay && end.outcome == run_outcome::done
                     && m_doneOn.contains(end.key.task)) {
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -100,8 +100,6 @@
     bool cursorsLast = true;
     // An end counts as acknowledged once it is in the answer to a call.
     bool listedEndsStay = false;
-    // Reports hold a malformed row instead of the end with this number; 0 for none.
-    std::uint64_t malformedEnd = 0;
     std::vector<recorded_start> starts;
     // The share of full speed, in percent, that each run was last set to.
     std::map<run_key, std::uint32_t> throttles;
