platform: Leave it to renewals to tell that a worker has restarted

A start, a stop or a throttle that met a restarted process was answered as `wrongIncarnation`, the word for an address at which another worker answers. The leader then took the earlier process for gone at once, and its runs for lost, without waiting for what the new process reports, as it does when a renewal finds it.

Such a request was not sent, and is now answered so. The renewal that follows tells which process is there.

--- a/Source/Fleet/worker_client.h
+++ b/Source/Fleet/worker_client.h
@@ -170,8 +170,8 @@
 
 // Client for the requests that the scheduler sends to workers. Failures are reported through
 // worker_call_result; no method throws. Only the incarnation that a request is meant for carries it
-// out. A renewal that reaches another one yields a report and changes nothing there, any other
-// request yields `wrongIncarnation` or `neverSent`.
+// out. A renewal that reaches a restarted one yields a report and changes nothing there, any other
+// request yields `neverSent`.
 class worker_client
 {
 public:
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -195,7 +195,7 @@
             return worker_response{worker_call_result::wrongIncarnation, clockOf(worker)};
         }
         if (worker.record.incarnation != target.incarnation && !reportsOnly) {
-            return worker_response{worker_call_result::wrongIncarnation, std::nullopt};
+            return worker_response{worker_call_result::neverSent, std::nullopt};
         }
         finishDueRuns(worker);
         if (target.fencingToken < worker.fencingToken) {
