--- a/Tests/Unit/worker_client_test.cxx
+++ b/Tests/Unit/worker_client_test.cxx
@@ -121,12 +121,17 @@
             http::response<http::string_body> response(http::status::ok, 11);
             response.body() = "{\"clock_ms\":5,\"born\":" + std::to_string(born)
                               + ",\"running\":[],\"ended_runs\":[]}";
+            response.keep_alive(!closesAfterResponse);
             response.prepare_payload();
             if (!socket->is_open()) {
                 co_return;
             }
             co_await http::async_write(*socket, response,
                                        asio::redirect_error(asio::use_awaitable, error));
+            if (closesAfterResponse) {
+                socket->close();
+                co_return;
+            }
         }
     }
 
@@ -186,6 +191,7 @@
     std::vector<std::shared_ptr<tcp::socket>> sockets;
     worker_call_target target;
     int born = 1;
+    bool closesAfterResponse = false;
     std::vector<std::string> carriedOut;
     std::vector<worker_call_result> results;
     std::vector<milliseconds> reportedBy;
@@ -238,6 +244,19 @@
     }
 }
 
+// A worker that closes each connection after one response would never get a request.
+TEST(http_worker_client, reachesAWorkerThatClosesEachConnection)
+{
+    restarting_worker worker(18'787);
+    worker.closesAfterResponse = true;
+    worker.run(worker.startRun());
+    worker.run(worker.renew(milliseconds(50)));
+    worker.run(worker.stopRun());
+    EXPECT_EQ(worker.carriedOut, (std::vector<std::string>{"1/run-start", "1/hold", "1/run-stop"}));
+    EXPECT_EQ(worker.results, std::vector<worker_call_result>(2, worker_call_result::done));
+    EXPECT_EQ(worker.reportedBy.back(), milliseconds(1));
+}
+
 // A renewal is sent again when its connection ends; the next process must not get it.
 TEST(http_worker_client, repeatsNoRenewalAtARestartedWorker)
 {
