reports: Mark the offer of a worker with limited room when a run begins there

A worker whose room was learned from refusals takes one run at a time until that has been confirmed. Since a report that confirms it marked the offer only for long-running tasks, so that up to 400 ms of room were lost. Found by a review, by reading; no test shows the delay.

--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -78,7 +78,7 @@
     tracked_run &run = *known;
     if (run.phase == run_phase::unconfirmed || run.phase == run_phase::starting) {
         run.phase = run_phase::running;
-        if (run.longRunning) {
+        if (run.longRunning || worker->observed.limit) {
             markOfferChanged(*state, worker);
         }
     }
