placement: Bound the wait of long-running jobs for short tasks that lack room

Since the first runs of a long-running step waited for as long as short tasks lacked room, in a steady shortage without end, and tasks that no worker can hold counted as a shortage. A job that has nothing running for 3 s while there is room breaks a rule of the users (LOST). Found by a review.

A step that has waited for 2 s gets one run a second, and only tasks that some worker can hold show a shortage.

Failed before: room_shortage.longRunningJobsWaitForAsLongAsTheShortageLasts (no start of the new job in 3 s).

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -236,6 +236,8 @@
     // Of a long-running step, the tasks that have not run yet and the restarts wait apart.
     unplaced_wait wait;
     unplaced_wait restartsWait;
+    // When a first run was last placed although short tasks lacked room.
+    std::optional<steady_time> admittedInShortageAt;
     // By task: since when it has waited for a trial.
     std::map<std::uint32_t, steady_time> trialWaitSince;
     // By task: since when it has waited to learn whether the workers of its runs have crashed.
--- a/Source/Dispatch/service_rooms.cxx
+++ b/Source/Dispatch/service_rooms.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/service_rooms.h"
 
+#include <algorithm>
+
 namespace mango {
 
 namespace {
@@ -21,12 +23,17 @@
     for (auto &[service, room] : state.serviceRooms) {
         room.capacity = 0;
         room.longRunning = 0;
+        room.largest = {};
     }
     for (std::size_t at = 0; at < round.workers.size(); ++at) {
         if (round.contributions[at].exclusion == worker_exclusion::none) {
             const tracked_worker &worker = *round.workers[at];
             service_room &room = state.serviceRooms[worker.record.service];
-            room.capacity += worker.record.capacity.milliCores;
+            const resource_amounts &capacity = worker.record.capacity;
+            room.largest = {std::max(room.largest.milliCores, capacity.milliCores),
+                            std::max(room.largest.memoryMb, capacity.memoryMb),
+                            std::max(room.largest.accelerators, capacity.accelerators)};
+            room.capacity += capacity.milliCores;
             room.longRunning += worker.longRunningMilliCores;
         }
     }
@@ -36,10 +43,12 @@
 {
     const steady_time now = state.context.clock.now();
     const auto &since = waitOf(ready).since;
-    const bool wantsRoom = !ready.urgency.longRunning && now < ready.urgency.expiresAt
-                           && !ready.committedJob->graph.steps[ready.step].bestEffort;
-    if (wantsRoom && since && now - *since > shortageThreshold) {
-        state.serviceRooms[ready.committedJob->queueParameters.service].shortageAt = now;
+    const job_step &step = ready.committedJob->graph.steps[ready.step];
+    const bool wantsRoom =
+            !ready.urgency.longRunning && now < ready.urgency.expiresAt && !step.bestEffort;
+    service_room &room = state.serviceRooms[ready.committedJob->queueParameters.service];
+    if (wantsRoom && since && now - *since > shortageThreshold && canHold(room, step.resources)) {
+        room.shortageAt = now;
     }
 }
 
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -216,7 +216,13 @@
     }
     placement_request request = makeRequest(state, ready, 0);
     const service_room &room = state.serviceRooms[*request.service];
-    if (admitsLongRunning(room, request.step->resources.milliCores, state.context.clock.now())) {
+    const steady_time now = state.context.clock.now();
+    if (admitsLongRunning(room, request.step->resources.milliCores, now)) {
+        return false;
+    }
+    std::optional<steady_time> &admittedAt = ready.tracked->admittedInShortageAt;
+    if (isDueDespiteShortage({waitOf(ready).since, admittedAt}, now)) {
+        admittedAt = now;
         return false;
     }
     job_step doubled = *request.step;
--- a/Source/Scheduling/room_shortage.cxx
+++ b/Source/Scheduling/room_shortage.cxx
@@ -8,6 +8,9 @@
 constexpr std::uint64_t openSharePercent = 85;
 // How long a shortage counts as recent.
 constexpr auto shortageMemory = std::chrono::seconds(3);
+// How long the first runs of a step wait for short tasks, and how often one is placed afterwards.
+constexpr auto longestDeferral = std::chrono::milliseconds(2000);
+constexpr auto admissionInterval = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -18,4 +21,17 @@
     return withinShare || !room.shortageAt || now - *room.shortageAt > shortageMemory;
 }
 
+bool isDueDespiteShortage(const first_run_wait &wait, steady_time now)
+{
+    const bool waitedForLong = wait.since && now - *wait.since > longestDeferral;
+    return waitedForLong && (!wait.admittedAt || now - *wait.admittedAt >= admissionInterval);
+}
+
+bool canHold(const service_room &room, const resource_amounts &requested)
+{
+    return requested.milliCores <= room.largest.milliCores
+           && requested.memoryMb <= room.largest.memoryMb
+           && requested.accelerators <= room.largest.accelerators;
+}
+
 } // namespace mango
--- a/Source/Scheduling/room_shortage.h
+++ b/Source/Scheduling/room_shortage.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "Common/clock_source.h"
+#include "Jobs/job_graph.h"
 
 namespace mango {
 
@@ -16,6 +17,16 @@
     std::uint64_t longRunning = 0;
     // When a short task last waited for room for a while.
     std::optional<steady_time> shortageAt;
+    // The most that one of the workers can hold.
+    resource_amounts largest;
+};
+
+// How long the first runs of a long-running step have waited.
+struct first_run_wait
+{
+    std::optional<steady_time> since;
+    // When one of them was last let through despite a shortage.
+    std::optional<steady_time> admittedAt;
 };
 
 // Returns true when the first run of a long-running task that requests so many thousandths of a
@@ -25,4 +36,12 @@
 // and the rest as long as no short task has lately waited for room.
 bool admitsLongRunning(const service_room &room, std::uint32_t milliCores, steady_time now);
 
+// Returns true when a first run is placed despite a shortage of room: a step that has waited for
+// long gets one run a second, so that its job does not wait for as long as the shortage lasts.
+bool isDueDespiteShortage(const first_run_wait &wait, steady_time now);
+
+// Returns true when some worker of the service can hold the resources. Tasks that none can hold
+// show no shortage.
+bool canHold(const service_room &room, const resource_amounts &requested);
+
 } // namespace mango
--- a/Tests/Unit/room_shortage_test.cxx
+++ b/Tests/Unit/room_shortage_test.cxx
@@ -73,7 +73,7 @@
 TEST(room_shortage, longRunningTasksWaitWithoutNeed)
 {
     const steady_time now{seconds(100)};
-    service_room room{100'000, 70'000, now};
+    service_room room{100'000, 70'000, now, {}};
     EXPECT_TRUE(admitsLongRunning(room, 10'000, now));
     EXPECT_FALSE(admitsLongRunning(room, 20'000, now));
     EXPECT_FALSE(admitsLongRunning(room, 20'000, now + seconds(2)));
@@ -82,6 +82,42 @@
     EXPECT_TRUE(admitsLongRunning(room, 20'000, now));
 }
 
+// A long-running job has nothing running for as long as short tasks lack room.
+TEST(room_shortage, longRunningJobsWaitForAsLongAsTheShortageLasts)
+{
+    const steady_time now{seconds(100)};
+    EXPECT_FALSE(isDueDespiteShortage({std::nullopt, std::nullopt}, now));
+    EXPECT_FALSE(isDueDespiteShortage({now - milliseconds(1900), std::nullopt}, now));
+    EXPECT_TRUE(isDueDespiteShortage({now - milliseconds(2100), std::nullopt}, now));
+    EXPECT_FALSE(isDueDespiteShortage({now - seconds(9), now - milliseconds(900)}, now));
+    EXPECT_TRUE(isDueDespiteShortage({now - seconds(9), now - seconds(1)}, now));
+    turnover_fleet fleet;
+    // Each worker has 3.5 cores left, and short tasks of 5 cores wait for more.
+    for (int round = 0; round < 30; ++round) {
+        fleet.submit(fleet.nextShort++, fleet_group::oneStep(4, 5'000));
+        fleet.run(milliseconds(100));
+    }
+    const std::uint64_t before = fleet.longRunningStarts();
+    job_graph graph = fleet_group::oneStep(1, 3'000);
+    graph.steps[0].longRunning = true;
+    fleet.submit(fleet.nextLongRunning++, graph);
+    for (int round = 0; round < 30; ++round) {
+        fleet.submit(fleet.nextShort++, fleet_group::oneStep(4, 5'000));
+        fleet.run(milliseconds(100));
+    }
+    EXPECT_EQ(fleet.longRunningStarts(), before + 1);
+}
+
+// Tasks that no worker can hold show no shortage.
+TEST(room_shortage, hopelessTasksKeepLongRunningOnesWaiting)
+{
+    const service_room room{100'000, 90'000, std::nullopt, {32'000, 64'000, 0}};
+    EXPECT_TRUE(canHold(room, {32'000, 64'000, 0}));
+    EXPECT_FALSE(canHold(room, {33'000, 1'000, 0}));
+    EXPECT_FALSE(canHold(room, {1'000, 65'000, 0}));
+    EXPECT_FALSE(canHold(room, {1'000, 1'000, 1}));
+}
+
 // Guards against new long-running tasks that take all room that becomes free, so that short tasks
 // wait for as long as these run.
 TEST(room_shortage, shortTasksStarveBesideNewLongRunningTasks)
