--- a/Source/Control/control_server.cxx
+++ b/Source/Control/control_server.cxx
@@ -195,7 +195,7 @@
     message.forwardCount = 1;
     const bool proposal = std::holds_alternative<propose_request>(message.message);
     ++m_context.metricsRegistry.at("mango_relayed_calls_total");
-    const auto response = co_await client->invoke(std::move(message), forwardTimeout);
+    const auto response = co_await client->invoke(message, forwardTimeout);
     if (!failed(response)) {
         co_return valueOf(response);
     }
--- a/Source/Entry/control_client.cxx
+++ b/Source/Entry/control_client.cxx
@@ -35,7 +35,7 @@
 control_client::invoke(call message, steady_span timeout)
 {
     const std::size_t used = m_current;
-    auto answered = co_await m_clients[used]->invoke(std::move(message), timeout);
+    auto answered = co_await m_clients[used]->invoke(message, timeout);
     const bool notServed =
             failed(answered) || std::holds_alternative<not_leader>(valueOf(answered));
     if (notServed && m_current == used) {
