--- a/review/stand_ins/system.py
+++ b/review/stand_ins/system.py
@@ -179,7 +179,7 @@
     async def start(self):
         for process in self.cores + self.edges:
             process.start(bootstrap=True)
-        deadline = self.now() + 30
+        deadline = self.now() + 15
         for edge in self.edges:
             while True:
                 if self.now() > deadline:
@@ -330,13 +330,15 @@
     """Runs play(system, trouble) and exits with 1 if it returns the breaks of the rule, 0 if it
     returns none, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are also ended when the case itself is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def main():
         system = System(case_folder, **sizes)
         system.record("case", f"TROUBLE={'1' if trouble else '0'}")
         try:
             await system.start()
-            breaks = await asyncio.wait_for(play(system, trouble), 105)
+            breaks = await asyncio.wait_for(play(system, trouble), 95)
             for line in breaks:
                 system.record("rule broken", line)
                 print("rule broken:", line)
