--- a/review/3/case.py
+++ b/review/3/case.py
@@ -58,9 +58,12 @@
     await asyncio.sleep(0.3)
     await worker.begin()
     system.record(worker.name, f"starts again, born {worker.born}")
-    await asyncio.sleep(1)
+    while not worker.acknowledged:
+        await asyncio.sleep(0.05)
+    system.record(worker.name, "its first heartbeat is acknowledged")
+    await asyncio.sleep(0.8)
     await system.client("POST", JOB_PATH, JOB)
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.8)
     await announce_drain(system, worker, sound)
     await asyncio.sleep(0.5)
     if trouble:
--- a/review/stand_ins/workers.py
+++ b/review/stand_ins/workers.py
@@ -88,7 +88,7 @@
         self.fence, self.hold_until, self.sequence = 0, 0, 0
         self.runs, self.ended, self.last_end, self.past = {}, [], 0, {}
         self.beat_address = None
-        self.draining_acknowledged = None
+        self.acknowledged = False
         self.changed = asyncio.Event()
         self.server = await asyncio.start_server(self.serve, self.system.worker_ip, 0)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
@@ -126,7 +126,6 @@
                      for number in (nodes or range(len(self.system.cores)))]
         if self.beat_address and not nodes:
             addresses.insert(0, self.beat_address)
-        said = body["state"]
         for address in addresses:
             answer = await request("PUT", address, f"/instances/{self.name}", body, timeout=1)
             if answer.status is not None and 200 <= answer.status < 300:
@@ -134,8 +133,7 @@
                 if named:
                     ip, port = named.rsplit(":", 1)
                     self.beat_address = (ip, int(port))
-                if said == "draining" and self.draining_acknowledged is None:
-                    self.draining_acknowledged = self.system.now()
+                self.acknowledged = True
                 return True
             self.beat_address = None
         return False
