--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins"))
 
-from system import BOUNDS, run_case
+from system import BOUNDS, CannotRun, run_case
 from workers import Fleet
 
 PREFIX = "/pule252/"
@@ -26,7 +26,7 @@
     for job in (OTHER, HIGHEST):
         answer = await system.client("POST", PREFIX + job, JOB)
         if answer.status != 200:
-            return [f"LOST: {job} was not accepted"]
+            raise CannotRun(f"{job} was not accepted")
     await asyncio.sleep(1.5)
     if trouble:
         await system.client("DELETE", PREFIX + HIGHEST)
