dispatch: Read ranges of runs from their first key on

Cause: the runs of a job were the range from its id to the next id, and the id after the greatest one is 0. The range ended before it began and its end was never found. The command is in the log, so that each later leader hung as well.

The stack of the busy process, twice: apply, onCommandApplied, closeJob, stopRunsOf, std::_Rb_tree_increment.

Change: no end of a range is computed; a range is read for as long as its keys match. The ranges of tasks and steps go through the same function.

Test: job_ids.* with the least and greatest ids.

--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -51,10 +51,17 @@
     }
 }
 
-void stopRunsOf(const dispatch_handle &state, const run_key &from, const run_key &to)
+// Stops the runs whose tasks match. They follow each other in the order of their keys; `first` is
+// not greater than any of them. No key is computed as the end of the range, since there is none
+// after the greatest job id.
+template<class Matches>
+void stopRunsFrom(const dispatch_handle &state, const task_key &first, const Matches &matches)
 {
-    std::vector<std::pair<run_key, tracked_worker_handle>> found(
-            state->workerByRun.lower_bound(from), state->workerByRun.lower_bound(to));
+    std::vector<std::pair<run_key, tracked_worker_handle>> found;
+    for (auto at = state->workerByRun.lower_bound({first, 0});
+         at != state->workerByRun.end() && matches(at->first.task); ++at) {
+        found.emplace_back(*at);
+    }
     for (const auto &[key, worker] : found) {
         const auto run = worker->runs.find(key);
         if (run != worker->runs.end()) {
@@ -63,24 +70,29 @@
     }
 }
 
-void stopTask(const dispatch_handle &state, task_key task)
+void stopTask(const dispatch_handle &state, const task_key &task)
 {
-    const run_key from{task, 0};
-    ++task.index;
-    stopRunsOf(state, from, {task, 0});
+    stopRunsFrom(state, task, [&task](const task_key &other) {
+        return other == task;
+    });
 }
 
 void stopStep(const dispatch_handle &state, const task_key &member)
 {
-    stopRunsOf(state, {{member.job, member.occurrence, member.step, 0}, 0},
-               {{member.job, member.occurrence, member.step + 1, 0}, 0});
+    const task_key first{member.job, member.occurrence, member.step, 0};
+    stopRunsFrom(state, first, [&first](const task_key &other) {
+        return other.job == first.job && other.occurrence == first.occurrence
+               && other.step == first.step;
+    });
 }
 
 // Removes a finished job and stops its runs.
 void closeJob(const dispatch_handle &state, std::uint64_t number)
 {
     state->jobs.erase(number);
-    stopRunsOf(state, {{number, 0, 0, 0}, 0}, {{number + 1, 0, 0, 0}, 0});
+    stopRunsFrom(state, {number, 0, 0, 0}, [number](const task_key &other) {
+        return other.job == number;
+    });
 }
 
 void addJob(dispatch_state &state, std::uint64_t number, const job_state &job)
