jobs: Keep only a window of the occurrences of a schedule

Cause: the tasks of all occurrences were created on each replica when the job was accepted, indexed by the leader, and looked at in each round. What a call of 200 bytes costs was in proportion to a number in it.

Change: occurrences are opened by a command, in order and shortly before they are due, as many as have together no more tasks than a job may have, and closed when they are done. So any repeat_count costs the same and is served to its end.

fleet_state.runsEveryOccurrenceOfASchedule started a run of an occurrence that had not been opened, which the state now ignores. The test checks that too, opens the occurrences, and is otherwise the same.

Test: scheduled_jobs.*, occurrence_window.*.

--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -265,8 +265,10 @@
     // The time from its acceptance within which it should be complete, as of `estimatedAt`.
     std::chrono::milliseconds objective{0};
     steady_time estimatedAt{};
-    // The steps of each occurrence.
+    // The steps of each open occurrence.
     std::map<std::uint32_t, std::vector<tracked_step>> occurrences;
+    // How many occurrences have been opened, the closed ones included.
+    std::uint32_t openedOccurrences = 0;
     // When the start of its first run under this leader was committed.
     std::optional<steady_time> firstRunAt;
     std::uint32_t startedRuns = 0;
@@ -322,6 +324,8 @@
     // By the number of the proposed batch, which differs from those of other leaderships.
     std::map<std::uint64_t, std::vector<end_acknowledgement>> acknowledgements;
     std::uint64_t nextBatch;
+    // The opening of occurrences has been proposed and is not committed yet.
+    bool openingProposed = false;
     interference_model interference;
     // By the path prefix of a queue.
     std::map<std::string, run_times> runTimes;
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -95,16 +95,13 @@
     });
 }
 
-void addJob(dispatch_state &state, std::uint64_t number, const job_state &job)
+// Adds the open occurrences of a job that were opened since the last call.
+void addOccurrences(tracked_job &tracked, const job_state &job)
 {
-    tracked_job tracked;
-    tracked.knownSince = state.context.machine.knownSince(number);
-    tracked.queue = job.queueParameters.pathPrefix;
-    beginAccount(state, tracked, job);
-
-    for (const auto &[at, occurrence] : job.occurrences) {
-        auto &steps = tracked.occurrences[at];
-        for (const auto &tasks : occurrence.steps) {
+    for (auto at = job.occurrences.lower_bound(tracked.openedOccurrences);
+         at != job.occurrences.end(); ++at) {
+        auto &steps = tracked.occurrences[at->first];
+        for (const auto &tasks : at->second.steps) {
             tracked_step &step = steps.emplace_back();
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 step.unfinishedTasks += tasks[index].done ? 0 : 1;
@@ -114,9 +111,43 @@
             }
         }
     }
+    tracked.openedOccurrences = job.openedOccurrences;
+}
+
+void addJob(dispatch_state &state, std::uint64_t number, const job_state &job)
+{
+    tracked_job tracked;
+    tracked.knownSince = state.context.machine.knownSince(number);
+    tracked.queue = job.queueParameters.pathPrefix;
+    beginAccount(state, tracked, job);
+    addOccurrences(tracked, job);
     state.jobs[number] = std::move(tracked);
 }
 
+void indexOpenedOccurrences(dispatch_state &state, const open_occurrences &change)
+{
+    const auto &jobs = state.context.machine.state().jobs;
+    for (const open_occurrences::opening &one : change.openings) {
+        const auto job = jobs.find(one.job);
+        const auto tracked = state.jobs.find(one.job);
+        if (job != jobs.end() && tracked != state.jobs.end()) {
+            addOccurrences(tracked->second, job->second);
+        }
+    }
+}
+
+// Removes an occurrence that the replicated state has closed.
+void removeClosedOccurrence(dispatch_state &state, std::uint64_t number, std::uint32_t occurrence)
+{
+    const auto &jobs = state.context.machine.state().jobs;
+    const auto job = jobs.find(number);
+    const auto tracked = state.jobs.find(number);
+    if (job != jobs.end() && tracked != state.jobs.end()
+        && !job->second.occurrences.contains(occurrence)) {
+        tracked->second.occurrences.erase(occurrence);
+    }
+}
+
 tracked_worker_handle addWorker(const dispatch_handle &state, const worker_record &record)
 {
     auto worker = std::make_shared<tracked_worker>(state->context.clock);
@@ -246,6 +277,7 @@
 {
     const auto &jobs = state->context.machine.state().jobs;
     std::set<std::uint64_t> affectedJobs;
+    std::set<std::pair<std::uint64_t, std::uint32_t>> affectedOccurrences;
     std::set<task_key> stepsWithDoneTasks;
     for (const end_runs::run_end &end : change.ends) {
         const task_key &key = end.key.task;
@@ -256,6 +288,7 @@
         accountForRun(*state, end, worker);
         removeRun(*state, end.key);
         affectedJobs.insert(key.job);
+        affectedOccurrences.insert({key.job, key.occurrence});
         if (const auto tracked = state->jobs.find(key.job); tracked != state->jobs.end()) {
             tracked->second.isSettled = false;
         }
@@ -284,6 +317,9 @@
             stopStep(state, key);
         }
     }
+    for (const auto &[number, occurrence] : affectedOccurrences) {
+        removeClosedOccurrence(*state, number, occurrence);
+    }
     for (const task_key &key : stepsWithDoneTasks) {
         const auto job = jobs.find(key.job);
         tracked_step *tracked = findStep(*state, key);
@@ -359,6 +395,8 @@
         closeFailedJobs(state, *explained);
     } else if (const auto *submitted = std::get_if<submit_job>(&change)) {
         indexSubmittedJob(state, submitted->job);
+    } else if (const auto *opened = std::get_if<open_occurrences>(&change)) {
+        indexOpenedOccurrences(*state, *opened);
     } else if (const auto *cancelled = std::get_if<cancel_job>(&change)) {
         closeJob(state, cancelled->job);
     } else if (const auto *noted = std::get_if<register_worker>(&change)) {
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -11,6 +11,7 @@
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/task_placement.h"
 #include "Dispatch/trial_runs.h"
+#include "Jobs/occurrence_window.h"
 
 namespace mango {
 
@@ -47,12 +48,9 @@
 
 bool isDue(const dispatch_state &state, const job_graph &graph, std::uint32_t occurrence)
 {
-    if (!graph.schedule) {
-        return true;
-    }
-    const auto due = graph.schedule->firstAt + graph.schedule->interval * occurrence;
-    const auto wall = state.context.clock.wallTime().time_since_epoch();
-    return wall >= due;
+    return !graph.schedule
+           || state.context.clock.wallTime().time_since_epoch()
+                      >= dueTimeOf(*graph.schedule, occurrence);
 }
 
 // Adds a long-running step, with its restarts apart from the tasks that have not run yet. A gang
@@ -103,7 +101,19 @@
     }
 }
 
-std::vector<ready_step> collectReadySteps(dispatch_state &state)
+// Adds the occurrences of the job that should be open and are not.
+void collectOpenings(const dispatch_state &state, std::uint64_t number, const job_state &job,
+                     open_occurrences &due)
+{
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+            state.context.clock.wallTime().time_since_epoch());
+    const std::uint32_t count = occurrencesToOpen(job, wall);
+    if (count > job.openedOccurrences) {
+        due.openings.push_back({number, count});
+    }
+}
+
+std::vector<ready_step> collectReadySteps(dispatch_state &state, open_occurrences &due)
 {
     std::vector<ready_step> ready;
     const steady_time now = state.context.clock.now();
@@ -121,6 +131,7 @@
         const run_times &seen = state.runTimes[found->second.queueParameters.pathPrefix];
         // Time makes the occurrences of a schedule ready.
         job.isSettled = !graph.schedule;
+        collectOpenings(state, number, found->second, due);
         for (auto &[at, steps] : job.occurrences) {
             for (std::uint32_t step = 0; step < steps.size(); ++step) {
                 if (!isReady(state, graph, steps, at, step)) {
@@ -147,6 +158,23 @@
     return ready;
 }
 
+asio::awaitable<void> commitOpenings(dispatch_handle state, open_occurrences due)
+{
+    fleet_command change = std::move(due);
+    co_await commitCommand(state, std::move(change));
+    state->openingProposed = false;
+}
+
+// Proposes to open the occurrences, one command at a time.
+void proposeOpenings(const dispatch_handle &state, open_occurrences due)
+{
+    if (due.openings.empty() || state->openingProposed) {
+        return;
+    }
+    state->openingProposed = true;
+    asio::co_spawn(state->context.executor, commitOpenings(state, std::move(due)), asio::detached);
+}
+
 // Proposes the pending ends of runs, and marks acknowledgements that need no commit as committed.
 void commitPendingEnds(const dispatch_handle &state)
 {
@@ -293,7 +321,9 @@
         beginPart(*state, round_part::offers);
         updateOffers(*state, round);
         beginPart(*state, round_part::collect);
-        const std::vector<ready_step> ready = collectReadySteps(*state);
+        open_occurrences due;
+        const std::vector<ready_step> ready = collectReadySteps(*state, due);
+        proposeOpenings(state, std::move(due));
         beginPart(*state, round_part::place);
         const round_end end = placeSteps(state, round, ready, roundBegin, started);
         state->changed = state->changed || end != round_end::done;
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -1,6 +1,7 @@
 #include "Fleet/fleet_state.h"
 
 #include "Common/result.h"
+#include "Jobs/occurrence_window.h"
 
 namespace mango {
 
@@ -139,6 +140,17 @@
     return fleet_command_result::applied;
 }
 
+fleet_command_result applyOne(fleet_state &state, const open_occurrences &change)
+{
+    for (const open_occurrences::opening &one : change.openings) {
+        const auto found = state.jobs.find(one.job);
+        if (found != state.jobs.end()) {
+            openOccurrences(found->second, one.count);
+        }
+    }
+    return fleet_command_result::applied;
+}
+
 fleet_command_result applyOne(fleet_state &state, const record_pressures &change)
 {
     state.pressures = change.pressures;
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -178,9 +178,32 @@
     }
 };
 
+// Opens occurrences of scheduled jobs, in order, until a number of them have been opened.
+struct open_occurrences
+{
+    struct opening
+    {
+        std::uint64_t job = 0;
+        std::uint32_t count = 0;
+
+        template<class Archive>
+        void serialize(Archive &archive)
+        {
+            archive(job, count);
+        }
+    };
+    std::vector<opening> openings;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(openings);
+    }
+};
+
 using fleet_command = std::variant<adopt_configuration, set_domain_availability, register_worker,
                                    remove_worker, submit_job, cancel_job, begin_runs, end_runs,
-                                   record_pressures, explain_silences>;
+                                   record_pressures, explain_silences, open_occurrences>;
 
 // Result of applying a command, returned to its proposer.
 enum class fleet_command_result : std::uint8_t {
--- a/Source/Jobs/job_graph.cxx
+++ b/Source/Jobs/job_graph.cxx
@@ -9,9 +9,6 @@
 
 constexpr std::size_t jobIdDigits = 16;
 constexpr std::size_t maximumSpecificationBytes = 4000;
-// Keeps a single job from filling the replicated log; larger than any job of the largest known
-// deployment.
-constexpr std::uint64_t maximumTasks = 20'000;
 
 } // namespace
 
@@ -47,6 +44,15 @@
     return toText(key.task) + "/" + std::to_string(key.run);
 }
 
+std::uint64_t countTasks(const job_graph &graph)
+{
+    std::uint64_t tasks = 0;
+    for (const job_step &step : graph.steps) {
+        tasks += step.tasks;
+    }
+    return tasks;
+}
+
 std::string describe(const graph_failure &failure)
 {
     const std::string step = "step " + std::to_string(failure.step);
@@ -74,10 +80,8 @@
     if (graph.specification.size() > maximumSpecificationBytes) {
         return graph_failure{graph_failure::kind::specificationTooLong, 0};
     }
-    std::uint64_t tasks = 0;
     for (std::uint32_t number = 0; number < graph.steps.size(); ++number) {
         const job_step &step = graph.steps[number];
-        tasks += step.tasks;
         if (step.tasks == 0) {
             return graph_failure{graph_failure::kind::noTasks, number};
         }
@@ -87,7 +91,7 @@
             }
         }
     }
-    if (tasks > maximumTasks) {
+    if (countTasks(graph) > maximumTasks) {
         return graph_failure{graph_failure::kind::tooManyTasks, 0};
     }
     return std::nullopt;
--- a/Source/Jobs/job_graph.h
+++ b/Source/Jobs/job_graph.h
@@ -144,6 +144,13 @@
 // Formats a run as JOB.OCCURRENCE.STEP.INDEX/RUN for log lines.
 std::string toText(const run_key &key);
 
+// The greatest number of tasks of one job at a time. Keeps a single job from filling the replicated
+// log; larger than any job of the largest known deployment.
+inline constexpr std::uint64_t maximumTasks = 20'000;
+
+// Returns the number of tasks of all steps, of one occurrence.
+std::uint64_t countTasks(const job_graph &graph);
+
 // Reason why a job graph is invalid.
 struct graph_failure
 {
--- a/Source/Jobs/job_records.cxx
+++ b/Source/Jobs/job_records.cxx
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Jobs/occurrence_window.h"
+
 namespace mango {
 
 namespace {
@@ -48,11 +50,20 @@
     }
 }
 
-void updatePhase(job_state &job)
+// Closes an occurrence of a schedule that is done, and completes the job after the last one.
+void updatePhase(job_state &job, std::uint32_t number)
 {
     if (!isOpen(job)) {
         return;
     }
+    const auto ended = job.occurrences.find(number);
+    if (job.graph.schedule && ended != job.occurrences.end() && allDone(ended->second)
+        && !anyActive(ended->second)) {
+        job.occurrences.erase(ended);
+    }
+    if (job.openedOccurrences < countOccurrences(job.graph)) {
+        return;
+    }
     const bool finished =
             std::all_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &item) {
                 return allDone(item.second);
@@ -105,7 +116,7 @@
                                > 0;
     if (outcome == run_outcome::done) {
         markDone(job.occurrences[key.task.occurrence], step, key.task);
-        updatePhase(job);
+        updatePhase(job, key.task.occurrence);
         return true;
     }
     if (outcome != run_outcome::failed || !isUnexplained) {
@@ -165,15 +176,10 @@
 {
     job_state job;
     job.queueParameters = std::move(queueParameters);
-    job_occurrence occurrence;
-    for (const job_step &step : graph.steps) {
-        occurrence.steps.emplace_back(step.tasks);
-    }
-    const std::uint32_t count = graph.schedule ? graph.schedule->occurrences : 1;
-    for (std::uint32_t number = 0; number < count; ++number) {
-        job.occurrences.emplace(number, occurrence);
-    }
     job.graph = std::move(graph);
+    if (!job.graph.schedule) {
+        openOccurrences(job, 1);
+    }
     return job;
 }
 
@@ -241,7 +247,7 @@
     } else if (outcome == run_outcome::workerSilent) {
         addUnexplained(*task, ended);
     }
-    updatePhase(job);
+    updatePhase(job, key.task.occurrence);
     return true;
 }
 
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -160,13 +160,16 @@
     job_graph graph;
     job_phase phase = job_phase::queued;
     job_failure_report failure;
-    // All occurrences by number.
+    // The open occurrences by number: those that have been opened and may have tasks to run or runs
+    // in progress (see occurrence_window.h).
     std::map<std::uint32_t, job_occurrence> occurrences;
+    // How many occurrences have been opened so far, in order. The closed ones among them are done.
+    std::uint32_t openedOccurrences = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(queueParameters, graph, phase, failure, occurrences);
+        archive(queueParameters, graph, phase, failure, occurrences, openedOccurrences);
     }
 };
 
@@ -176,10 +179,10 @@
     return job.phase == job_phase::queued || job.phase == job_phase::running;
 }
 
-// Creates a queued job with the tasks of all its occurrences.
+// Creates a queued job. The occurrences of a schedule are opened later.
 job_state makeJob(queue_parameters queueParameters, job_graph graph);
 
-// Returns the task of a key; nullptr when the job has no such task.
+// Returns the task of a key; nullptr when the job has no such task, or its occurrence is not open.
 task_state *findTask(job_state &job, const task_key &key);
 const task_state *findTask(const job_state &job, const task_key &key);
 
--- a/Tests/Unit/fleet_state_test.cxx
+++ b/Tests/Unit/fleet_state_test.cxx
@@ -157,6 +157,9 @@
     const run_key firstRun{{1, 0, 0, 0}, 1};
     const run_key secondRun{{1, 1, 0, 0}, 1};
     applyBeginRun(state, firstRun);
+    EXPECT_EQ(phaseOf(state, 1), job_phase::queued);
+    apply(state, open_occurrences{{{1, 2}}});
+    applyBeginRun(state, firstRun);
     applyEndRun(state, firstRun, run_outcome::done);
     EXPECT_EQ(phaseOf(state, 1), job_phase::running);
     applyBeginRun(state, secondRun);
