scheduler: Give up the runs of a departing worker once it has ended

Cause: the DELETE of a worker names no incarnation. It was taken for the end of whichever one was draining, whatever the worker reported. One that had waited in a suspended core machine ended the runs of the worker's next life, which ran on.

Change: the announcement is a reason to ask the worker, at growing intervals. Its runs are given up when its address refuses connections, another incarnation answers, or its lease has expired.

The fake worker that leaves refuses connections now, as a process that has ended does; it was unreachable, as one that is cut off.

Test: worker_departure.*, directly and through relays.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -242,9 +242,7 @@
         co_return responseOf(fleet_outcome::accepted);
     }
     if (const tracked_worker_handle worker = findWorker(*state, known->second.incarnation)) {
-        // It ends once it has the response; what has ended there is reported before.
-        co_await requestReport(state, worker);
-        recordWorkerExit(state, worker, worker_exit_evidence::deregistered);
+        co_await handleDeparture(state, worker);
     }
     co_return responseOf(fleet_outcome::accepted);
 }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -159,6 +159,8 @@
     bool exited = false;
     // Its end has been counted, and its runs have been blamed for it where they may be the cause.
     bool exitRecorded = false;
+    // It has said that it ends, or its earlier incarnation has; it may still have runs.
+    bool departureAnnounced = false;
     // It has answered this leader, and so refuses requests of earlier leaders.
     bool answered = false;
     std::optional<clock_reading> clock;
@@ -433,6 +435,11 @@
 // Has the worker report at once, beside the renewal that may be waiting for an end.
 boost::asio::awaitable<void> requestReport(dispatch_handle state, tracked_worker_handle worker);
 
+// Handles the announcement that the worker ends. The announcement names no incarnation and may
+// have been held up since an earlier one, so the runs are given up only once the worker has ended:
+// nothing listens at its address, or its lease has expired. Until then it is asked for reports.
+boost::asio::awaitable<void> handleDeparture(dispatch_handle state, tracked_worker_handle worker);
+
 // Sends the start request of a run whose start is committed.
 boost::asio::awaitable<void> sendStart(dispatch_handle state, tracked_worker_handle worker,
                                        run_key key);
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -25,6 +25,11 @@
 constexpr auto commitWaitLimit = std::chrono::milliseconds(300);
 // How often to check whether the leadership is certain again.
 constexpr auto leadershipRecheckInterval = std::chrono::milliseconds(50);
+// How often a worker that has announced its end is asked for a report, at first and at last, and
+// for how long. A worker whose announcement is not acknowledged ends some seconds after it.
+constexpr auto shortestDepartureWait = std::chrono::milliseconds(25);
+constexpr auto longestDepartureWait = std::chrono::milliseconds(800);
+constexpr auto departureTimeout = std::chrono::seconds(15);
 
 worker_call_target targetOf(const dispatch_state &state, const tracked_worker &worker)
 {
@@ -40,6 +45,10 @@
     }
     const worker_call_result result = response.result;
     const steady_time now = state->context.clock.now();
+    if (response.notListening && worker->departureAnnounced) {
+        recordWorkerExit(state, worker, worker_exit_evidence::deregistered);
+        return;
+    }
     if (result == worker_call_result::staleFencingToken) {
         // A newer incarnation of the worker refuses the requests for earlier ones.
         if (!worker->current || worker->exited) {
@@ -179,12 +188,50 @@
     if (!state->active) {
         co_return;
     }
-    if (std::holds_alternative<worker_report>(response)) {
+    const auto *refusal = std::get_if<worker_response>(&response);
+    if (refusal == nullptr || refusal->notListening) {
         handleReport(state, worker, response);
     }
     settleRunsOfFormerWorker(*state, worker);
 }
 
+namespace {
+
+// Asks a worker that has announced its end for reports until it has ended.
+asio::awaitable<void> watchDeparture(dispatch_handle state, tracked_worker_handle worker)
+{
+    const steady_time begin = state->context.clock.now();
+    std::chrono::milliseconds wait = shortestDepartureWait;
+    while (state->context.clock.now() - begin < departureTimeout) {
+        co_await state->context.clock.sleepFor(wait);
+        if (isSessionOver(*state, *worker)) {
+            co_return;
+        }
+        if (holdsLeadership(*state)) {
+            co_await requestReport(state, worker);
+        }
+        wait = std::min(wait * 2, longestDepartureWait);
+    }
+    worker->departureAnnounced = false;
+    logEvent(log_part::scheduler, "departure-refuted",
+             {{"worker", worker->record.incarnation.id},
+              {"born", worker->record.incarnation.startTime.count()},
+              {"runs", worker->runs.size()}});
+    ++state->context.metricsRegistry.at("mango_departures_refuted_total");
+}
+
+} // namespace
+
+asio::awaitable<void> handleDeparture(dispatch_handle state, tracked_worker_handle worker)
+{
+    const bool isFirst = !std::exchange(worker->departureAnnounced, true);
+    // It ends once it has the response; what has ended there is reported before.
+    co_await requestReport(state, worker);
+    if (isFirst && !isSessionOver(*state, *worker)) {
+        asio::co_spawn(state->context.executor, watchDeparture(state, worker), asio::detached);
+    }
+}
+
 asio::awaitable<void> runWorkerSession(dispatch_handle state, tracked_worker_handle worker)
 {
     while (!isSessionOver(*state, *worker)) {
--- a/Source/Fleet/worker_client.h
+++ b/Source/Fleet/worker_client.h
@@ -48,11 +48,13 @@
     std::optional<worker_time> clock;
     // There is no response because a relay failed, which says nothing about the worker.
     bool relayFailed = false;
+    // There is no response because no process listens at the worker's address.
+    bool notListening = false;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(result, clock, relayFailed);
+        archive(result, clock, relayFailed, notListening);
     }
 };
 
--- a/Source/Http/http_client.cxx
+++ b/Source/Http/http_client.cxx
@@ -208,6 +208,7 @@
         http_failure failure;
         failure.sent = sent;
         failure.reused = reused;
+        failure.refused = error == asio::error::connection_refused;
         failure.detail = error.message();
         if (error == beast::error::timeout) {
             failure.reason = http_failure::kind::timedOut;
--- a/Source/Http/http_message.h
+++ b/Source/Http/http_message.h
@@ -49,6 +49,8 @@
     bool sent = false;
     // True when the connection had been used for an earlier exchange.
     bool reused = false;
+    // True when the host answered that no process listens at the address.
+    bool refused = false;
     std::string detail;
 };
 
--- a/Tests/Fakes/fake_workers.cxx
+++ b/Tests/Fakes/fake_workers.cxx
@@ -69,7 +69,7 @@
     fake_worker &worker = m_workers.at(id);
     worker.running.clear();
     worker.ended.clear();
-    worker.unreachable = true;
+    worker.hasEnded = true;
     forgetDoneOn(id);
 }
 
@@ -191,6 +191,9 @@
         if (worker.record.address != target.address) {
             continue;
         }
+        if (worker.hasEnded) {
+            return worker_response{worker_call_result::neverSent, std::nullopt, false, true};
+        }
         if (worker.record.incarnation.id != target.incarnation.id) {
             return worker_response{worker_call_result::wrongIncarnation, clockOf(worker)};
         }
--- a/Tests/Fakes/fake_workers.h
+++ b/Tests/Fakes/fake_workers.h
@@ -33,6 +33,8 @@
     std::uint64_t acknowledged = 0;
     // Calls do not arrive and get no response.
     bool unreachable = false;
+    // The process has ended, so that nothing listens at its address.
+    bool hasEnded = false;
     // Start requests take effect after this delay and get no response.
     std::optional<std::chrono::milliseconds> startDelay;
     // The cores that the worker really has, in thousandths: starts beyond are refused. Needs
