jobs: Recognise a submission that is older than the cancel of its job

Callers saw: a job was handed in to a suspended edge, got no answer, and was cancelled at another edge, which answered 410.

Cause: the edge passed the request on as a new one, and the cancel of an unknown job had left no trace. Nothing told the order of the two calls.

Change: the cancel of an unknown job is recorded by a command; the latest 10,000 are kept, and of the others the number of the last. Each process knows how many commands had certainly been applied before a request arrived that it reads now, since what it learns after a delayed wake-up does not count, and requests that have waited behind others on their connection get the mark of these. The mark goes with the submission into its command, which is refused when it is below the number of the cancel: 429 with Retry-After 1. A job that is submitted after the cancel is served.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -12,6 +12,9 @@
 
 // When to retry while there is no leader; an election takes about that long.
 constexpr auto leaderRetryDelay = std::chrono::milliseconds(1000);
+// When to retry a call that may have been held up. An entry learns within this time which commands
+// have been applied.
+constexpr auto overtakenRetryDelay = std::chrono::milliseconds(1000);
 
 fleet_response responseOf(fleet_outcome outcome)
 {
@@ -60,7 +63,20 @@
             route.stretch, route.targetLatency};
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, submit_call call)
+// Refuses a submission that may be older than the cancel of its job. A caller that has sent it
+// after the cancel may repeat it.
+fleet_response refuseEarlyCancelled(const dispatch_state &state, std::uint64_t job)
+{
+    ++state.context.metricsRegistry.at("mango_submissions_overtaken_total");
+    logEvent(log_part::scheduler, "submission-overtaken", {{"job", formatJobId(job)}});
+    fleet_response response = responseOf(fleet_outcome::refused);
+    response.retryAfter = overtakenRetryDelay;
+    response.text = "the job has been cancelled; the submission may have been sent before";
+    return response;
+}
+
+asio::awaitable<fleet_response> serve(dispatch_handle state, submit_call call,
+                                      std::uint64_t receivedAfter)
 {
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
     if (resolved.route == nullptr) {
@@ -82,12 +98,18 @@
         response.text = describe(*failure);
         co_return response;
     }
+    if (isCancelledEarly(state->context.machine.state(), *resolved.job, receivedAfter)) {
+        co_return refuseEarlyCancelled(*state, *resolved.job);
+    }
     const std::string queue = resolved.route->name;
     const std::size_t steps = call.graph.steps.size();
-    fleet_command change =
-            submit_job{*resolved.job, termsOf(*resolved.route), std::move(call.graph)};
+    fleet_command change = submit_job{*resolved.job, termsOf(*resolved.route),
+                                      std::move(call.graph), receivedAfter};
     const steady_time receivedAt = state->context.clock.now();
     const auto committed = co_await commitCommand(state, std::move(change));
+    if (committed == fleet_command_result::overtaken) {
+        co_return refuseEarlyCancelled(*state, *resolved.job);
+    }
     logEvent(log_part::scheduler, "job-submitted",
              {{"job", formatJobId(*resolved.job)},
               {"queue", queue},
@@ -99,7 +121,8 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call,
+                                      std::uint64_t /*receivedAfter*/)
 {
     const fleet_state &committed = state->context.machine.state();
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
@@ -122,13 +145,14 @@
     co_return response;
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call,
+                                      std::uint64_t /*receivedAfter*/)
 {
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
     if (resolved.route == nullptr) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
-    if (!resolved.job || !phaseOf(state->context.machine.state(), *resolved.job)) {
+    if (!resolved.job) {
         co_return responseOf(fleet_outcome::unknownJob);
     }
     fleet_command change = cancel_job{*resolved.job};
@@ -136,12 +160,15 @@
     if (!committed) {
         co_return responseOf(fleet_outcome::uncertain);
     }
-    logEvent(log_part::scheduler, "job-cancelled", {{"job", formatJobId(*resolved.job)}});
+    logEvent(log_part::scheduler, "job-cancelled",
+             {{"job", formatJobId(*resolved.job)},
+              {"known", *committed == fleet_command_result::unknownJob ? "no" : "yes"}});
     co_return responseOf(*committed == fleet_command_result::unknownJob ? fleet_outcome::unknownJob
                                                                         : fleet_outcome::accepted);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, configure_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, configure_call call,
+                                      std::uint64_t /*receivedAfter*/)
 {
     const std::uint64_t version = call.configuration.version;
     if (version <= state->context.machine.state().configuration.version) {
@@ -154,7 +181,8 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, read_configuration_call /*call*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, read_configuration_call /*call*/,
+                                      std::uint64_t /*receivedAfter*/)
 {
     if (!isConfigured(*state)) {
         co_return responseOf(fleet_outcome::notConfigured);
@@ -164,7 +192,8 @@
     co_return response;
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, domain_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, domain_call call,
+                                      std::uint64_t /*receivedAfter*/)
 {
     const bool out =
             state->context.machine.state().domainsOutOfService.contains(call.failureDomain);
@@ -180,7 +209,8 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, heartbeat_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, heartbeat_call call,
+                                      std::uint64_t /*receivedAfter*/)
 {
     const worker_record &record = call.heartbeat.record;
     const auto &committed = state->context.machine.state().workers;
@@ -233,7 +263,8 @@
     co_return responseOf(noted ? fleet_outcome::accepted : fleet_outcome::unavailable);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, worker_exit_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, worker_exit_call call,
+                                      std::uint64_t /*receivedAfter*/)
 {
     const auto &committed = state->context.machine.state().workers;
     const auto known = committed.find(call.worker);
@@ -247,7 +278,8 @@
     co_return responseOf(fleet_outcome::accepted);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, group_call /*call*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, group_call /*call*/,
+                                      std::uint64_t /*receivedAfter*/)
 {
     fleet_response response = responseOf(fleet_outcome::accepted);
     if (isConfigured(*state)) {
@@ -258,26 +290,26 @@
 
 } // namespace
 
-asio::awaitable<fleet_response> serveFleetCall(dispatch_handle state, fleet_request request)
+asio::awaitable<fleet_response> serveFleetCall(dispatch_handle state, fleet_call call)
 {
     if (!holdsLeadership(*state)) {
         co_return unavailable();
     }
-    const bool forJobs = std::holds_alternative<submit_call>(request)
-                         || std::holds_alternative<query_call>(request)
-                         || std::holds_alternative<cancel_call>(request);
+    const bool forJobs = std::holds_alternative<submit_call>(call.request)
+                         || std::holds_alternative<query_call>(call.request)
+                         || std::holds_alternative<cancel_call>(call.request);
     if (forJobs && !isConfigured(*state)) {
         fleet_response response = responseOf(fleet_outcome::notConfigured);
         response.retryAfter = leaderRetryDelay;
         co_return response;
     }
     // Keeps the request alive until the coroutine has finished.
-    fleet_request ownedRequest = std::move(request);
+    fleet_call owned = std::move(call);
     co_return co_await std::visit(
             [&](auto &typed) {
-                return serve(state, std::move(typed));
+                return serve(state, std::move(typed), owned.receivedAfter);
             },
-            ownedRequest);
+            owned.request);
 }
 
 } // namespace mango
--- a/Source/Dispatch/caller_service.h
+++ b/Source/Dispatch/caller_service.h
@@ -5,8 +5,8 @@
 
 namespace mango {
 
-// Handles a request of a caller, an operator or a worker on the leader. Answers `unavailable` when
-// the leadership is not certain.
-boost::asio::awaitable<fleet_response> serveFleetCall(dispatch_handle state, fleet_request request);
+// Handles a call of a caller, an operator or a worker on the leader. Answers `unavailable` when the
+// leadership is not certain.
+boost::asio::awaitable<fleet_response> serveFleetCall(dispatch_handle state, fleet_call call);
 
 } // namespace mango
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -73,6 +73,7 @@
     , m_directWorkers(workers)
     , m_relayedWorkers(executor, clock, links, events.stamps(), metricsRegistry, workers,
                        settings.timing.responseTimeout, &m_work)
+    , m_receipts(leadershipCheckInterval)
     , m_context{executor,         clock,           metricsRegistry, m_replica, m_machine,
                 m_relayedWorkers, settings.timing, m_work}
 {}
@@ -121,6 +122,7 @@
     steady_time wakeDue = m_context.clock.now();
     while (!m_stopping) {
         recordLag(m_context.clock.now() - wakeDue);
+        m_receipts.report(m_machine.state().commandsApplied, wakeDue, m_context.clock.now());
         recordLease();
         recordWork();
         const bool current =
@@ -290,12 +292,12 @@
 asio::awaitable<response_message> fleet_server::handleCall(call message)
 {
     if (auto *forLeader = std::get_if<fleet_call>(&message.message)) {
-        const bool forwarded = message.forwardCount > 0;
-        fleet_request request = std::move(forLeader->request);
-        if (forwarded) {
+        fleet_call request = std::move(*forLeader);
+        if (message.forwardCount > 0) {
             co_return co_await serveLocally(std::move(request));
         }
-        co_return co_await serve(std::move(request));
+        const std::uint64_t receivedAfter = request.receivedAfter;
+        co_return co_await serve(std::move(request.request), receivedAfter);
     }
     if (auto *forWorker = std::get_if<worker_call>(&message.message)) {
         co_return co_await relayWorkerCall(std::move(*forWorker));
@@ -337,14 +339,15 @@
     }
 }
 
-asio::awaitable<fleet_response> fleet_server::serveLocally(fleet_request request)
+asio::awaitable<fleet_response> fleet_server::serveLocally(fleet_call call)
 {
     const dispatch_handle leader = m_leadership;
-    const bool asksForGroup = std::holds_alternative<group_call>(request);
+    const bool asksForGroup = std::holds_alternative<group_call>(call.request);
     fleet_response response;
     if (leader && !m_stopping) {
-        response = co_await serveFleetCall(leader, std::move(request));
+        response = co_await serveFleetCall(leader, std::move(call));
     }
+    response.commandsApplied = m_machine.state().commandsApplied;
     if (asksForGroup || response.outcome == fleet_outcome::unavailable) {
         describeGroup(response);
     }
@@ -360,7 +363,8 @@
 
 } // namespace
 
-asio::awaitable<fleet_response> fleet_server::serve(fleet_request request)
+asio::awaitable<fleet_response> fleet_server::serve(fleet_request request,
+                                                    std::uint64_t receivedAfter)
 {
     if (std::holds_alternative<read_configuration_call>(request)) {
         return readConfiguration();
@@ -369,15 +373,15 @@
         announced != nullptr && !m_leadership && isUnchanged(announced->heartbeat)) {
         return acceptUnchanged();
     }
-    return serveOrForward(std::move(request));
+    return serveOrForward({std::move(request), receivedAfter});
 }
 
-asio::awaitable<fleet_response> fleet_server::serveOrForward(fleet_request request)
+asio::awaitable<fleet_response> fleet_server::serveOrForward(fleet_call call)
 {
     if (m_leadership || m_stopping) {
-        return serveLocally(std::move(request));
+        return serveLocally(std::move(call));
     }
-    return forwardToLeader(std::move(request));
+    return forwardToLeader(std::move(call));
 }
 
 asio::awaitable<fleet_response> fleet_server::readConfiguration()
@@ -386,8 +390,9 @@
     const bool leads = m_leadership != nullptr;
     const bool leaseHeld = leads && m_replica.hasLeaderLease();
     const host_address leader = m_replica.leaderAddress();
-    fleet_request request = read_configuration_call{};
-    fleet_response response = co_await serveOrForward(std::move(request));
+    fleet_call read;
+    read.request = read_configuration_call{};
+    fleet_response response = co_await serveOrForward(std::move(read));
     logEvent(log_part::control, "configuration-read",
              {{"outcome", response.outcome == fleet_outcome::accepted ? "answered" : "unavailable"},
               {"role", leads ? "leader" : "follower"},
@@ -397,7 +402,7 @@
     co_return response;
 }
 
-asio::awaitable<fleet_response> fleet_server::forwardToLeader(fleet_request request)
+asio::awaitable<fleet_response> fleet_server::forwardToLeader(fleet_call forwarded)
 {
     const host_address leader = m_replica.leaderAddress();
     if (leader.port == 0 || leader == m_settings.listen) {
@@ -411,16 +416,16 @@
                                              m_events.stamps(), leader);
     }
     const std::shared_ptr<rpc_client> client = known;
-    const call message{1, fleet_call{request}};
+    const call message{1, forwarded};
     auto answered = co_await client->invoke(message, forwardTimeout);
     if (failed(answered)) {
         const bool neverSent = failureOf(answered).reason == network_failure::kind::connectFailed;
-        co_return responseOf(outcomeWithoutResponse(request, neverSent));
+        co_return responseOf(outcomeWithoutResponse(forwarded.request, neverSent));
     }
     if (auto *response = std::get_if<fleet_response>(&valueOf(answered))) {
         co_return std::move(*response);
     }
-    co_return responseOf(outcomeWithoutResponse(request, false));
+    co_return responseOf(outcomeWithoutResponse(forwarded.request, false));
 }
 
 } // namespace mango
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/receipt_tracker.h"
 #include "Dispatch/caller_service.h"
 #include "Dispatch/relayed_worker_client.h"
 
@@ -66,8 +67,16 @@
     boost::asio::awaitable<result<done, settings_failure>> start();
     // Hands leadership over and stops.
     boost::asio::awaitable<void> stop();
-    // Serves a call locally when this process leads, else forwards it to the leader.
-    boost::asio::awaitable<fleet_response> serve(fleet_request request);
+    // Serves a request that this process has received itself: locally when it leads, else by the
+    // leader. `receivedAfter` is what receiptMark() returned when the request was read.
+    boost::asio::awaitable<fleet_response> serve(fleet_request request,
+                                                 std::uint64_t receivedAfter);
+    // The number of commands that were certainly applied before any request arrived that is read
+    // now.
+    [[nodiscard]] std::uint64_t receiptMark() const
+    {
+        return m_receipts.knownBeforeReceipt();
+    }
     // True while this process holds the leader lease and no worker has accepted a newer leader.
     [[nodiscard]] bool hasLeaderLease() const
     {
@@ -97,11 +106,11 @@
 
 private:
     boost::asio::awaitable<response_message> handleCall(call message);
-    boost::asio::awaitable<fleet_response> serveOrForward(fleet_request request);
-    boost::asio::awaitable<fleet_response> serveLocally(fleet_request request);
+    boost::asio::awaitable<fleet_response> serveOrForward(fleet_call call);
+    boost::asio::awaitable<fleet_response> serveLocally(fleet_call call);
     // Answers an operator's read of the configuration and logs how.
     boost::asio::awaitable<fleet_response> readConfiguration();
-    boost::asio::awaitable<fleet_response> forwardToLeader(fleet_request request);
+    boost::asio::awaitable<fleet_response> forwardToLeader(fleet_call forwarded);
     boost::asio::awaitable<void> watchLeadership();
     void recordLag(steady_span lag);
     void recordLease();
@@ -124,6 +133,7 @@
     worker_client &m_directWorkers;
     relayed_worker_client m_relayedWorkers;
     transit_monitor m_transits;
+    receipt_tracker m_receipts;
     dispatch_context m_context;
     // Since when each of the other replicas has responded without a longer pause.
     std::map<host_address, steady_time> m_respondingSince;
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -10,6 +10,8 @@
 // Finished jobs are kept so that a late retry of a submission is still recognised as a duplicate.
 // This covers more than two weeks at 4,800 jobs a day.
 constexpr std::size_t maximumFinishedJobs = 80'000;
+// Covers two days at 4,800 jobs a day, if each is cancelled before it arrives.
+constexpr std::size_t maximumEarlyCancels = 10'000;
 
 // Moves a job that is no longer open and has no active runs to the finished jobs.
 void retireIfFinished(fleet_state &state, std::uint64_t number)
@@ -86,6 +88,10 @@
     if (phaseOf(state, change.job)) {
         return fleet_command_result::unchanged;
     }
+    if (isCancelledEarly(state, change.job, change.receivedAfter)) {
+        return fleet_command_result::overtaken;
+    }
+    removeKey(state.earlyCancels, change.job);
     state.jobs.emplace(change.job, makeJob(change.queueParameters, change.graph));
     return fleet_command_result::applied;
 }
@@ -94,8 +100,11 @@
 {
     const auto found = state.jobs.find(change.job);
     if (found == state.jobs.end()) {
-        return state.finished.contains(change.job) ? fleet_command_result::unchanged
-                                                   : fleet_command_result::unknownJob;
+        if (state.finished.contains(change.job)) {
+            return fleet_command_result::unchanged;
+        }
+        recordCommand(state.earlyCancels, change.job, state.commandsApplied, maximumEarlyCancels);
+        return fleet_command_result::unknownJob;
     }
     if (!isOpen(found->second)) {
         return fleet_command_result::unchanged;
@@ -161,6 +170,7 @@
 
 fleet_command_result apply(fleet_state &state, const fleet_command &change)
 {
+    ++state.commandsApplied;
     return std::visit(
             [&](const auto &typed) {
                 return applyOne(state, typed);
@@ -186,6 +196,11 @@
     return isRecorded ? number->second : 0;
 }
 
+bool isCancelledEarly(const fleet_state &state, std::uint64_t job, std::uint64_t receivedAfter)
+{
+    return receivedAfter < latestCommandOf(state.earlyCancels, job);
+}
+
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job)
 {
     if (const auto open = state.jobs.find(job); open != state.jobs.end()) {
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "Fleet/configuration.h"
+#include "Fleet/recent_commands.h"
 #include "Fleet/worker_record.h"
 #include "Scheduling/image_interference.h"
 
@@ -63,21 +64,25 @@
     }
 };
 
-// Creates a job unless one with the same id is known.
+// Creates a job unless one with the same id is known, or was cancelled after the submission
+// arrived.
 struct submit_job
 {
     std::uint64_t job = 0;
     queue_parameters queueParameters;
     job_graph graph;
+    // How many commands had certainly been applied before the submission arrived.
+    std::uint64_t receivedAfter = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(job, queueParameters, graph);
+        archive(job, queueParameters, graph, receivedAfter);
     }
 };
 
-// Cancels a job if it is open. Its active runs remain recorded until they end.
+// Cancels a job if it is open. Its active runs remain recorded until they end. The cancel of an
+// unknown job is recorded, since its submission may have been held up and arrive later.
 struct cancel_job
 {
     std::uint64_t job = 0;
@@ -211,7 +216,9 @@
     // The state already matches, or holds something newer.
     unchanged,
     // No job has this id.
-    unknownJob
+    unknownJob,
+    // The call may have been held up since before a command that contradicts it; no effect.
+    overtaken
 };
 
 // The replicated state; changed only by apply(), in log order.
@@ -235,13 +242,17 @@
     // Why those of them failed that did.
     std::map<std::uint64_t, job_failure_report> failures;
     std::vector<pressure_record> pressures;
+    // The number of commands applied so far, which is also the number of the latest one.
+    std::uint64_t commandsApplied = 0;
+    // The cancels of unknown jobs.
+    recent_commands<std::uint64_t> earlyCancels;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(configuration, domainsOutOfService, workers, heartbeatSequences,
                 incarnationsRegistered, incarnationNumbers, jobs, finished, finishedOrder, failures,
-                pressures);
+                pressures, commandsApplied, earlyCancels);
     }
 };
 
@@ -257,6 +268,10 @@
 // the incarnation is not the recorded one.
 std::uint64_t incarnationNumber(const fleet_state &state, const worker_incarnation &incarnation);
 
+// Returns true when a submission of an unknown job may have been sent before the job was cancelled.
+// `receivedAfter` is the number of commands that had certainly been applied before it arrived.
+bool isCancelledEarly(const fleet_state &state, std::uint64_t job, std::uint64_t receivedAfter);
+
 // Returns the phase of a job; nullopt when the job is unknown.
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job);
 
--- a/Source/Gateway/leader_client.cxx
+++ b/Source/Gateway/leader_client.cxx
@@ -21,6 +21,9 @@
 // How long to wait for the response of one replica, so that time is left to try others.
 constexpr auto attemptTimeout = std::chrono::milliseconds(1200);
 
+// How often the knowledge of this process is noted for receiptMark().
+constexpr auto receiptInterval = std::chrono::milliseconds(100);
+
 bool isReadOnly(const fleet_request &request)
 {
     return std::holds_alternative<query_call>(request)
@@ -46,17 +49,28 @@
     , m_metricsRegistry(metricsRegistry)
     , m_seeds(std::move(seeds))
     , m_replicas(m_seeds)
+    , m_receipts(receiptInterval)
 {}
 
 asio::awaitable<void> leader_client::run()
 {
     while (true) {
-        fleet_request probe = group_call{};
+        fleet_call probe;
+        probe.request = group_call{};
         co_await serve(std::move(probe), steady_span(0), probeTimeout);
         co_await m_clock.sleepFor(isLeaderReachable() ? probeInterval : probeInterval / 4);
     }
 }
 
+asio::awaitable<void> leader_client::trackReceipts()
+{
+    while (true) {
+        const steady_time due = m_clock.now() + receiptInterval;
+        co_await m_clock.sleepFor(receiptInterval);
+        m_receipts.report(m_commandsApplied, due, m_clock.now());
+    }
+}
+
 void leader_client::setSeeds(std::vector<host_address> seeds)
 {
     m_seeds = std::move(seeds);
@@ -96,6 +110,7 @@
             }
         }
     }
+    m_commandsApplied = std::max(m_commandsApplied, response.commandsApplied);
     const bool served = response.outcome != fleet_outcome::unavailable;
     if (!served && m_leader != response.leader) {
         logEvent(log_part::entry, "leader-changed",
@@ -116,12 +131,12 @@
     }
 }
 
-asio::awaitable<leader_client::attempt> leader_client::tryOnce(const fleet_request &request,
+asio::awaitable<leader_client::attempt> leader_client::tryOnce(const fleet_call &request,
                                                                steady_span timeout)
 {
     const host_address address = nextReplica();
     const auto client = clientOf(address);
-    const call message{0, fleet_call{request}};
+    const call message{0, request};
     auto answered = co_await client->invoke(message, timeout);
     if (failed(answered)) {
         const bool notSent = failureOf(answered).reason == network_failure::kind::connectFailed;
@@ -132,7 +147,7 @@
             m_leader = {};
         }
         attempt failure;
-        failure.mayRetry = notSent || isReadOnly(request);
+        failure.mayRetry = notSent || isReadOnly(request.request);
         failure.response.outcome =
                 failure.mayRetry ? fleet_outcome::unavailable : fleet_outcome::uncertain;
         co_return failure;
@@ -153,8 +168,8 @@
     co_return current;
 }
 
-asio::awaitable<fleet_response> leader_client::serve(fleet_request request,
-                                                     steady_span leaderTimeout, steady_span timeout)
+asio::awaitable<fleet_response> leader_client::serve(fleet_call request, steady_span leaderTimeout,
+                                                     steady_span timeout)
 {
     const steady_time begin = m_clock.now();
     while (true) {
--- a/Source/Gateway/leader_client.h
+++ b/Source/Gateway/leader_client.h
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "Common/metrics_registry.h"
+#include "Common/receipt_tracker.h"
 #include "Wire/rpc.h"
 
 namespace mango {
@@ -18,10 +19,19 @@
 
     // Probes the leader at an interval until the process ends.
     boost::asio::awaitable<void> run();
+    // Tracks for receiptMark() what this process knows, until it ends.
+    boost::asio::awaitable<void> trackReceipts();
+    // The number of commands that the leader had certainly applied before any request arrived at
+    // this process that is read now.
+    [[nodiscard]] std::uint64_t receiptMark() const
+    {
+        return m_receipts.knownBeforeReceipt();
+    }
     // Sends a call to the leader and returns its response, within `timeout`. While there is no
     // leader the call is retried for `leaderTimeout`, then the outcome is `unavailable`. The
     // outcome is `uncertain` when there was no response but the leader may have executed the call.
-    boost::asio::awaitable<fleet_response> serve(fleet_request request, steady_span leaderTimeout,
+    // The call's `receivedAfter` is what receiptMark() returned when the request was read.
+    boost::asio::awaitable<fleet_response> serve(fleet_call request, steady_span leaderTimeout,
                                                  steady_span timeout);
     // Replaces the seed addresses; the replicas known so far stay known.
     void setSeeds(std::vector<host_address> seeds);
@@ -47,7 +57,7 @@
 private:
     struct attempt;
 
-    boost::asio::awaitable<attempt> tryOnce(const fleet_request &request, steady_span timeout);
+    boost::asio::awaitable<attempt> tryOnce(const fleet_call &request, steady_span timeout);
     std::shared_ptr<rpc_client> clientOf(const host_address &address);
     host_address nextReplica();
     void updateFromResponse(const fleet_response &response, const host_address &from);
@@ -63,6 +73,9 @@
     host_address m_leader;
     steady_time m_lastLeaderResponse{};
     caller_limits m_limits;
+    // The greatest number of applied commands that any response has told.
+    std::uint64_t m_commandsApplied = 0;
+    receipt_tracker m_receipts;
     std::map<host_address, std::shared_ptr<rpc_client>> m_clients;
 };
 
--- a/Source/Http/http_message.h
+++ b/Source/Http/http_message.h
@@ -21,6 +21,11 @@
     http_headers headers;
     std::string body;
     host_address peer;
+    // What the server's `receiptMark` returned when the request was read, or the one before it on
+    // the connection when this one may have arrived by then.
+    std::uint64_t receiptMark = 0;
+    // The sender had closed the connection, at least its own side, before the request was read.
+    bool senderClosed = false;
 };
 
 // A complete HTTP response.
--- a/Source/Http/http_server.cxx
+++ b/Source/Http/http_server.cxx
@@ -152,6 +152,19 @@
     return request;
 }
 
+// What can be read from a connection at once.
+enum class pending_input : std::uint8_t { nothing, bytes, end };
+
+pending_input pendingInputOf(beast::tcp_stream &stream)
+{
+    char next = 0;
+    const auto peeked = ::recv(stream.socket().native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (peeked == 0) {
+        return pending_input::end;
+    }
+    return peeked > 0 ? pending_input::bytes : pending_input::nothing;
+}
+
 // Writes the response; returns whether the connection can be used again.
 template<class Stream>
 asio::awaitable<bool> writeResponse(server_state &state, Stream &stream,
@@ -234,7 +247,15 @@
     beast::get_lowest_layer(stream).socket().set_option(tcp::no_delay(true), error);
     beast::flat_buffer buffer;
     bool open = true;
+    bool isFirst = true;
+    std::uint64_t receiptMark = 0;
     while (open) {
+        beast::tcp_stream &lowestLayer = beast::get_lowest_layer(stream);
+        // A request that has waited for the response to the one before arrived after that one.
+        const bool hasWaited =
+                !isFirst
+                && (buffer.size() > 0 || pendingInputOf(lowestLayer) == pending_input::bytes);
+        isFirst = false;
         auto message = co_await readRequest(*state, stream, buffer);
         if (!message) {
             break;
@@ -244,7 +265,13 @@
         const unsigned version = message->version();
         const bool keepAlive = message->keep_alive();
         const bool headOnly = message->method() == http::verb::head;
-        http_response response = co_await state->handler(toRequest(std::move(*message), peer));
+        if (!hasWaited && state->options.receiptMark) {
+            receiptMark = state->options.receiptMark();
+        }
+        http_request request = toRequest(std::move(*message), peer);
+        request.receiptMark = receiptMark;
+        request.senderClosed = pendingInputOf(lowestLayer) == pending_input::end;
+        http_response response = co_await state->handler(std::move(request));
         if (headOnly) {
             response.body.clear();
         }
--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -24,6 +24,8 @@
     // The server uses TLS when both are set.
     std::string certificateFile;
     std::string keyFile;
+    // Called for each request that is read, for http_request::receiptMark; may be empty.
+    std::function<std::uint64_t()> receiptMark;
     // The value of the label `server` of its metrics, and its settings section in error messages.
     std::string label;
 };
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -123,11 +123,14 @@
 struct fleet_call
 {
     fleet_request request;
+    // How many commands the group had certainly applied before the request arrived at the first of
+    // its processes. Tells a request that was held up from one that was sent after a later command.
+    std::uint64_t receivedAfter = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(request);
+        archive(request, receivedAfter);
     }
 };
 
@@ -163,11 +166,13 @@
     // The addresses of the members of the replica group.
     std::vector<host_address> group;
     std::optional<caller_limits> limits;
+    // How many commands the process that answers has applied.
+    std::uint64_t commandsApplied = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(outcome, retryAfter, phase, waiting, text, leader, group, limits);
+        archive(outcome, retryAfter, phase, waiting, text, leader, group, limits, commandsApplied);
     }
 };
 
--- a/Tests/Benchmark/leader_benchmark.cxx
+++ b/Tests/Benchmark/leader_benchmark.cxx
@@ -345,7 +345,7 @@
 
 asio::awaitable<void> serve(fleet_server &server, fleet_request request)
 {
-    co_await server.serve(std::move(request));
+    co_await server.serve(std::move(request), 0);
 }
 
 job_graph graphOf(std::uint32_t steps, std::uint32_t tasks, std::uint32_t milliCores,
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -235,9 +235,16 @@
 
     // Makes a call at a process and waits up to 6 s of fake time for its response.
     fleet_response call(std::size_t number, const fleet_request &request)
+    {
+        return callReceived(number, request, nodes[number]->server->receiptMark());
+    }
+    // The same for a request that has waited in the process since its receipt mark was `mark`.
+    fleet_response callReceived(std::size_t number, const fleet_request &request,
+                                std::uint64_t mark)
     {
         auto response = std::make_shared<std::optional<fleet_response>>();
-        boost::asio::co_spawn(*context, callAt(nodes[number]->server.get(), request, response),
+        boost::asio::co_spawn(*context,
+                              callAt(nodes[number]->server.get(), request, mark, response),
                               boost::asio::detached);
         for (int wait = 0; wait < 600 && !*response; ++wait) {
             run(std::chrono::milliseconds(10));
@@ -284,7 +291,7 @@
         });
         fleet_server &server = leader() >= 0 ? leading() : *running->get()->server;
         boost::asio::co_spawn(*context,
-                              callAt(&server, heartbeat_call{heartbeat},
+                              callAt(&server, heartbeat_call{heartbeat}, 0,
                                      std::make_shared<std::optional<fleet_response>>()),
                               boost::asio::detached);
     }
@@ -324,10 +331,10 @@
         co_await one.server->start();
     }
     static boost::asio::awaitable<void>
-    callAt(fleet_server *server, fleet_request request,
+    callAt(fleet_server *server, fleet_request request, std::uint64_t receivedAfter,
            std::shared_ptr<std::optional<fleet_response>> response)
     {
-        *response = co_await server->serve(std::move(request));
+        *response = co_await server->serve(std::move(request), receivedAfter);
     }
 
     // Sends the heartbeats of the workers that have taken the place of crashed ones.
--- a/Tests/Unit/http_server_test.cxx
+++ b/Tests/Unit/http_server_test.cxx
@@ -16,14 +16,6 @@
 
 constexpr milliseconds headerTimeout{60};
 
-asio::awaitable<http_response> answerWithBody(http_request request)
-{
-    http_response response;
-    response.status = 200;
-    response.body = request.body;
-    co_return response;
-}
-
 // A server on loopback and blocking clients on the same thread.
 struct small_server
 {
@@ -33,8 +25,14 @@
         options.label = "test";
         options.headerTimeout = headerTimeout;
         options.maximumConnections = maximumConnections;
+        options.receiptMark = [this] {
+            return mark;
+        };
         server = makeHttpServer(context.get_executor(), clock, metricsRegistry, options,
-                                answerWithBody);
+                                [this](const http_request &request) {
+                                    requests.push_back(request);
+                                    return answerAfter(answerDelay, request);
+                                });
         EXPECT_FALSE(failed(server->start()));
     }
 
@@ -61,6 +59,22 @@
         return text;
     }
 
+    // Answers with the body of the request.
+    asio::awaitable<http_response> answerAfter(milliseconds delay, http_request request)
+    {
+        if (delay.count() > 0) {
+            co_await clock.sleepFor(delay);
+        }
+        http_response response;
+        response.status = 200;
+        response.body = request.body;
+        co_return response;
+    }
+
+    // What the server takes as the receipt mark.
+    std::uint64_t mark = 0;
+    milliseconds answerDelay{0};
+    std::vector<http_request> requests;
     asio::io_context context{1};
     asio::io_context clientContext{1};
     system_clock_source clock{context.get_executor()};
@@ -127,4 +141,43 @@
     EXPECT_EQ(server.metricsRegistry.at("mango_http_connections{server=\"test\"}"), 3U);
 }
 
+// A request that waits behind another one on its connection is older than what the process has
+// learned meanwhile: it would be taken for one that was sent after that.
+TEST(http_server, marksARequestThatHasWaitedLikeTheOneBefore)
+{
+    small_server server(18'774);
+    server.answerDelay = milliseconds(30);
+    server.mark = 5;
+    tcp::socket client = server.connect();
+    small_server::send(client, exchange);
+    server.context.run_for(milliseconds(10));
+    small_server::send(client, exchange + exchange);
+    server.mark = 6;
+    server.context.run_for(milliseconds(120));
+    server.mark = 7;
+    small_server::send(client, exchange);
+    server.context.run_for(milliseconds(60));
+    ASSERT_EQ(server.requests.size(), 4U);
+    EXPECT_EQ(server.requests[0].receiptMark, 5U);
+    EXPECT_EQ(server.requests[1].receiptMark, 5U);
+    EXPECT_LE(server.requests[2].receiptMark, 6U);
+    EXPECT_EQ(server.requests[3].receiptMark, 7U);
+}
+
+// The process is suspended while a request arrives, and its sender gives up.
+TEST(http_server, tellsWhetherTheSenderWasGoneWhenTheRequestWasRead)
+{
+    small_server server(18'775);
+    tcp::socket waiting = server.connect();
+    tcp::socket leaving = server.connect();
+    small_server::send(waiting, exchange);
+    small_server::send(leaving, exchange);
+    leaving.close();
+    std::this_thread::sleep_for(milliseconds(20));
+    server.context.run_for(milliseconds(30));
+    ASSERT_EQ(server.requests.size(), 2U);
+    EXPECT_FALSE(server.requests[0].senderClosed);
+    EXPECT_TRUE(server.requests[1].senderClosed);
+}
+
 } // namespace mango::test
