fleet: Recognise an order on a failure domain that is older than the last

A copy of the take-back, which had waited in a suspended core machine, ended the last evacuation, and tasks started in the zone.

Change: orders on failure domains carry the same mark as submissions. One that would change a domain and is marked below its latest change is answered with 503; whoever means it repeats it. The changes of the latest 1,000 domains are kept.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -193,19 +193,30 @@
 }
 
 asio::awaitable<fleet_response> serve(dispatch_handle state, domain_call call,
-                                      std::uint64_t /*receivedAfter*/)
+                                      std::uint64_t receivedAfter)
 {
     const bool out =
             state->context.machine.state().domainsOutOfService.contains(call.failureDomain);
     if (out == call.outOfService) {
         co_return responseOf(fleet_outcome::accepted);
     }
-    fleet_command change = set_domain_availability{call.failureDomain, call.outOfService};
-    const auto committed = co_await commitCommand(state, std::move(change));
+    fleet_command change =
+            set_domain_availability{call.failureDomain, call.outOfService, receivedAfter};
+    std::optional<fleet_command_result> committed = fleet_command_result::overtaken;
+    if (!isDomainOrderOvertaken(state->context.machine.state(), call.failureDomain,
+                                receivedAfter)) {
+        committed = co_await commitCommand(state, std::move(change));
+    }
+    const bool isOvertaken = committed == fleet_command_result::overtaken;
+    const char *inForce = committed ? "in-force" : "uncertain";
     logEvent(log_part::control, "failure-domain",
              {{"domain", call.failureDomain},
               {"out", call.outOfService ? "yes" : "no"},
-              {"outcome", committed ? "in-force" : "uncertain"}});
+              {"outcome", isOvertaken ? "overtaken" : inForce}});
+    if (isOvertaken) {
+        // An operator who has sent the order after the latest change repeats it.
+        co_return unavailable();
+    }
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -10,6 +10,8 @@
 // Finished jobs are kept so that a late retry of a submission is still recognised as a duplicate.
 // This covers more than two weeks at 4,800 jobs a day.
 constexpr std::size_t maximumFinishedJobs = 80'000;
+// More than any deployment has, with those of names that were misspelt.
+constexpr std::size_t maximumDomainChanges = 1000;
 // Covers two days at 4,800 jobs a day, if each is cancelled before it arrives.
 constexpr std::size_t maximumEarlyCancels = 10'000;
 
@@ -44,10 +46,20 @@
 
 fleet_command_result applyOne(fleet_state &state, const set_domain_availability &change)
 {
-    const bool changed = change.outOfService
-                                 ? state.domainsOutOfService.insert(change.failureDomain).second
-                                 : state.domainsOutOfService.erase(change.failureDomain) > 0;
-    return changed ? fleet_command_result::applied : fleet_command_result::unchanged;
+    if (state.domainsOutOfService.contains(change.failureDomain) == change.outOfService) {
+        return fleet_command_result::unchanged;
+    }
+    if (isDomainOrderOvertaken(state, change.failureDomain, change.receivedAfter)) {
+        return fleet_command_result::overtaken;
+    }
+    if (change.outOfService) {
+        state.domainsOutOfService.insert(change.failureDomain);
+    } else {
+        state.domainsOutOfService.erase(change.failureDomain);
+    }
+    recordCommand(state.domainChanges, change.failureDomain, state.commandsApplied,
+                  maximumDomainChanges);
+    return fleet_command_result::applied;
 }
 
 fleet_command_result applyOne(fleet_state &state, const register_worker &change)
@@ -196,6 +208,12 @@
     return isRecorded ? number->second : 0;
 }
 
+bool isDomainOrderOvertaken(const fleet_state &state, const std::string &failureDomain,
+                            std::uint64_t receivedAfter)
+{
+    return receivedAfter < latestCommandOf(state.domainChanges, failureDomain);
+}
+
 bool isCancelledEarly(const fleet_state &state, std::uint64_t job, std::uint64_t receivedAfter)
 {
     return receivedAfter < latestCommandOf(state.earlyCancels, job);
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -24,16 +24,19 @@
     }
 };
 
-// Takes a failure domain out of service, or puts it back into service.
+// Takes a failure domain out of service, or puts it back into service, unless the opposite was
+// ordered after the order arrived.
 struct set_domain_availability
 {
     std::string failureDomain;
     bool outOfService = false;
+    // How many commands had certainly been applied before the order arrived.
+    std::uint64_t receivedAfter = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(failureDomain, outOfService);
+        archive(failureDomain, outOfService, receivedAfter);
     }
 };
 
@@ -244,6 +247,8 @@
     std::vector<pressure_record> pressures;
     // The number of commands applied so far, which is also the number of the latest one.
     std::uint64_t commandsApplied = 0;
+    // The changes of the failure domains that are or were out of service.
+    recent_commands<std::string> domainChanges;
     // The cancels of unknown jobs.
     recent_commands<std::uint64_t> earlyCancels;
 
@@ -252,7 +257,7 @@
     {
         archive(configuration, domainsOutOfService, workers, heartbeatSequences,
                 incarnationsRegistered, incarnationNumbers, jobs, finished, finishedOrder, failures,
-                pressures, commandsApplied, earlyCancels);
+                pressures, commandsApplied, domainChanges, earlyCancels);
     }
 };
 
@@ -268,6 +273,11 @@
 // the incarnation is not the recorded one.
 std::uint64_t incarnationNumber(const fleet_state &state, const worker_incarnation &incarnation);
 
+// Returns true when an order that would change the availability of a failure domain may have been
+// sent before the latest change of it. `receivedAfter` is as for isCancelledEarly().
+bool isDomainOrderOvertaken(const fleet_state &state, const std::string &failureDomain,
+                            std::uint64_t receivedAfter);
+
 // Returns true when a submission of an unknown job may have been sent before the job was cancelled.
 // `receivedAfter` is the number of commands that had certainly been applied before it arrived.
 bool isCancelledEarly(const fleet_state &state, std::uint64_t job, std::uint64_t receivedAfter);
