scheduling: Estimate the critical paths of a job in one pass

All paths of a job are computed in one pass from its end.

Sums of estimates, and an objective with any stretch, could exceed the range of a time; beyond a year they do not count.

No test counts the cost.

--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -176,14 +176,16 @@
            && state.context.consensus.term() == state.term;
 }
 
-std::chrono::milliseconds completionObjective(const dispatch_state &state, const job_state &job)
+std::chrono::milliseconds completionObjective(const queue_parameters &queue,
+                                              std::chrono::milliseconds criticalPath)
 {
-    const auto seen = state.runTimes.find(job.queueParameters.pathPrefix);
-    const auto chain = expectedCriticalPath(
-            seen == state.runTimes.end() ? run_times{} : seen->second, job.graph, 0);
-    return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(chain.count())
-                                                               * job.queueParameters.stretch))
-           + job.queueParameters.targetLatency;
+    // Any stretch and target are valid; the objective is added to times of the monotonic clock.
+    constexpr auto longest = std::chrono::milliseconds(std::chrono::hours(24 * 365));
+    const double stretched = static_cast<double>(criticalPath.count()) * queue.stretch;
+    const double limit = static_cast<double>(longest.count());
+    const std::chrono::milliseconds target = std::min(queue.targetLatency, longest);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(stretched, limit)))
+           + target;
 }
 
 tracked_worker_handle findWorker(const dispatch_state &state, const worker_incarnation &incarnation)
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -246,9 +246,6 @@
     std::map<std::uint32_t, steady_time> explanationWaitSince;
     // Since when the step has had no run although it is ready.
     std::optional<steady_time> idleSince;
-    // The expected time of its critical path, as of `estimatedAt`.
-    std::chrono::milliseconds criticalPath{0};
-    steady_time estimatedAt{};
     // By task: workers where it failed or stalled or runs slowly, so that it is tried elsewhere.
     std::map<std::uint32_t, std::set<worker_incarnation>> avoidedWorkers;
 };
@@ -264,8 +261,10 @@
     bool firstTaskStarted = false;
     // None of its steps has tasks to place until a run of it ends.
     bool isSettled = false;
-    // The time from its acceptance within which it should be complete, as of `estimatedAt`.
+    // The time from its acceptance within which it should be complete, and by step the expected
+    // time of the critical path from there on, as of `estimatedAt`.
     std::chrono::milliseconds objective{0};
+    std::vector<std::chrono::milliseconds> criticalPaths;
     steady_time estimatedAt{};
     // The steps of each open occurrence.
     std::map<std::uint32_t, std::vector<tracked_step>> occurrences;
@@ -406,8 +405,10 @@
 void requestStop(const dispatch_handle &state, const tracked_worker_handle &worker,
                  tracked_run &run);
 
-// The time from its acceptance within which a job should be complete.
-std::chrono::milliseconds completionObjective(const dispatch_state &state, const job_state &job);
+// The time from its acceptance within which a job should be complete, whose critical path is
+// expected to take the given time.
+std::chrono::milliseconds completionObjective(const queue_parameters &queue,
+                                              std::chrono::milliseconds criticalPath);
 
 // Adds a run to its worker and counts its resources as used. For a new run the caller then has the
 // start committed.
--- a/Source/Dispatch/job_report.cxx
+++ b/Source/Dispatch/job_report.cxx
@@ -65,7 +65,10 @@
 
 void beginAccount(const dispatch_state &state, tracked_job &tracked, const job_state &job)
 {
-    tracked.objective = completionObjective(state, job);
+    const auto seen = state.runTimes.find(job.queueParameters.pathPrefix);
+    const auto paths = expectedCriticalPaths(
+            seen == state.runTimes.end() ? run_times{} : seen->second, job.graph);
+    tracked.objective = completionObjective(job.queueParameters, paths.front());
     if (!job.graph.schedule) {
         tracked.accounts = makeAccounts(job.graph);
     }
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -87,17 +87,14 @@
            && isDue(state, graph, occurrence);
 }
 
-// Computes the expected times of a job and of one of its steps, unless they are recent.
-void updateEstimates(const dispatch_state &state, const run_times &seen, const job_state &committed,
-                     std::uint32_t number, tracked_job &job, tracked_step &step, steady_time now)
+// Computes the expected times of a job and of its steps, unless they are recent.
+void updateEstimates(const run_times &seen, const job_state &committed, tracked_job &job,
+                     steady_time now)
 {
     if (now - job.estimatedAt > estimateLifetime) {
         job.estimatedAt = now;
-        job.objective = completionObjective(state, committed);
-    }
-    if (now - step.estimatedAt > estimateLifetime) {
-        step.estimatedAt = now;
-        step.criticalPath = expectedCriticalPath(seen, committed.graph, number);
+        job.criticalPaths = expectedCriticalPaths(seen, committed.graph);
+        job.objective = completionObjective(committed.queueParameters, job.criticalPaths.front());
     }
 }
 
@@ -138,11 +135,11 @@
                     continue;
                 }
                 job.isSettled = false;
-                updateEstimates(state, seen, found->second, step, job, steps[step], now);
+                updateEstimates(seen, found->second, job, now);
                 const step_urgency urgency{
                         found->second.queueParameters.priority, graph.steps[step].longRunning,
                         job.knownSince + job.objective,
-                        job.knownSince + job.objective * noValueFactor, steps[step].criticalPath};
+                        job.knownSince + job.objective * noValueFactor, job.criticalPaths[step]};
                 const ready_step one{number, at, step, &found->second, &steps[step], urgency};
                 if (!urgency.longRunning) {
                     ready.push_back(one);
--- a/Source/Scheduling/run_times.cxx
+++ b/Source/Scheduling/run_times.cxx
@@ -9,6 +9,8 @@
 // With fewer runs the estimate of the caller is more accurate than the mean.
 constexpr std::uint32_t minimumRuns = 12;
 constexpr double smoothingWeight = 0.03;
+// Sums of the estimates of callers may exceed the range of a time. Beyond this they do not matter.
+constexpr auto longestPath = std::chrono::milliseconds(std::chrono::hours(24 * 365));
 
 } // namespace
 
@@ -35,20 +37,24 @@
     return (estimate + mean) / 2;
 }
 
-std::chrono::milliseconds expectedCriticalPath(const run_times &observed, const job_graph &graph,
-                                               std::uint32_t from)
+std::vector<std::chrono::milliseconds> expectedCriticalPaths(const run_times &observed,
+                                                             const job_graph &graph)
 {
-    std::vector<std::chrono::milliseconds> ends(graph.steps.size(), std::chrono::milliseconds(0));
+    // By step: the longest chain of steps that begins with it.
+    std::vector<std::chrono::milliseconds> chains(graph.steps.size(), std::chrono::milliseconds(0));
+    std::vector<std::chrono::milliseconds> paths(graph.steps.size());
     std::chrono::milliseconds longest{0};
-    for (std::uint32_t at = from; at < graph.steps.size(); ++at) {
-        std::chrono::milliseconds begin{0};
+    for (std::size_t at = graph.steps.size(); at-- > 0;) {
+        // All steps that depend on this one stand after it.
+        chains[at] = std::min(chains[at] + expectedRunTime(observed, graph.steps[at].estimate),
+                              longestPath);
         for (const std::uint32_t earlier : graph.steps[at].dependsOn) {
-            begin = std::max(begin, earlier >= from ? ends[earlier] : begin);
+            chains[earlier] = std::max(chains[earlier], chains[at]);
         }
-        ends[at] = begin + expectedRunTime(observed, graph.steps[at].estimate);
-        longest = std::max(longest, ends[at]);
+        longest = std::max(longest, chains[at]);
+        paths[at] = longest;
     }
-    return longest;
+    return paths;
 }
 
 } // namespace mango
--- a/Source/Scheduling/run_times.h
+++ b/Source/Scheduling/run_times.h
@@ -27,8 +27,9 @@
 std::chrono::milliseconds expectedRunTime(const run_times &observed,
                                           std::chrono::milliseconds estimate);
 
-// Returns the expected time of the critical path that begins with step `from`.
-std::chrono::milliseconds expectedCriticalPath(const run_times &observed, const job_graph &graph,
-                                               std::uint32_t from);
+// Returns by step the expected time of the critical path through that step and those after it. The
+// cost is in proportion to the number of steps and dependencies.
+std::vector<std::chrono::milliseconds> expectedCriticalPaths(const run_times &observed,
+                                                             const job_graph &graph);
 
 } // namespace mango
