--- a/Source/Scheduling/run_placement.cxx
+++ b/Source/Scheduling/run_placement.cxx
@@ -41,8 +41,9 @@
 bool hasEnoughMemory(const worker_offer &offer, const resource_amounts &requested)
 {
     const resource_amounts &capacity = offer.record->capacity;
-    return offer.used.memoryMb + requested.memoryMb <= capacity.memoryMb
-           && offer.used.accelerators + requested.accelerators <= capacity.accelerators;
+    return std::uint64_t(offer.used.memoryMb) + requested.memoryMb <= capacity.memoryMb
+           && std::uint64_t(offer.used.accelerators) + requested.accelerators
+                      <= capacity.accelerators;
 }
 
 bool hasEnoughCores(const worker_offer &offer, const job_step &step)
