dispatch: Call a departure refuted only when the worker was heard

Requests for reports mark a worker that refuses connections only while it departs, as before. Only the calls that others may have overtaken take a receipt mark.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -63,6 +63,9 @@
             route.stretch, route.targetLatency};
 }
 
+// The calls that others may have overtaken take `receivedAfter`, how many commands had certainly
+// been applied before they arrived.
+
 // Refuses a submission that may be older than the cancel of its job. A caller that has sent it
 // after the cancel may repeat it.
 fleet_response refuseEarlyCancelled(const dispatch_state &state, std::uint64_t job)
@@ -121,8 +124,7 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call)
 {
     const fleet_state &committed = state->context.machine.state();
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
@@ -145,8 +147,7 @@
     co_return response;
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call)
 {
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
     if (resolved.route == nullptr) {
@@ -167,8 +168,7 @@
                                                                         : fleet_outcome::accepted);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, configure_call call,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, configure_call call)
 {
     const std::uint64_t version = call.configuration.version;
     if (version <= state->context.machine.state().configuration.version) {
@@ -181,8 +181,7 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, read_configuration_call /*call*/,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, read_configuration_call /*call*/)
 {
     if (!isConfigured(*state)) {
         co_return responseOf(fleet_outcome::notConfigured);
@@ -220,8 +219,7 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, heartbeat_call call,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, heartbeat_call call)
 {
     const worker_record &record = call.heartbeat.record;
     const auto &committed = state->context.machine.state().workers;
@@ -274,8 +272,7 @@
     co_return responseOf(noted ? fleet_outcome::accepted : fleet_outcome::unavailable);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, worker_exit_call call,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, worker_exit_call call)
 {
     const auto &committed = state->context.machine.state().workers;
     const auto known = committed.find(call.worker);
@@ -289,8 +286,7 @@
     co_return responseOf(fleet_outcome::accepted);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, group_call /*call*/,
-                                      std::uint64_t /*receivedAfter*/)
+asio::awaitable<fleet_response> serve(dispatch_handle state, group_call /*call*/)
 {
     fleet_response response = responseOf(fleet_outcome::accepted);
     if (isConfigured(*state)) {
@@ -318,7 +314,11 @@
     fleet_call owned = std::move(call);
     co_return co_await std::visit(
             [&](auto &typed) {
-                return serve(state, std::move(typed), owned.receivedAfter);
+                if constexpr (requires { serve(state, std::move(typed), owned.receivedAfter); }) {
+                    return serve(state, std::move(typed), owned.receivedAfter);
+                } else {
+                    return serve(state, std::move(typed));
+                }
             },
             owned.request);
 }
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -189,7 +189,7 @@
         co_return;
     }
     const auto *refusal = std::get_if<worker_response>(&response);
-    if (refusal == nullptr || refusal->notListening) {
+    if (refusal == nullptr || (refusal->notListening && worker->departureAnnounced)) {
         handleReport(state, worker, response);
     }
     settleRunsOfFormerWorker(*state, worker);
@@ -213,6 +213,9 @@
         wait = std::min(wait * 2, longestDepartureWait);
     }
     worker->departureAnnounced = false;
+    if (state->context.clock.now() - worker->heardAt > state->context.timing.silentAfter) {
+        co_return;
+    }
     logEvent(log_part::scheduler, "departure-refuted",
              {{"worker", worker->record.incarnation.id},
               {"born", worker->record.incarnation.startTime.count()},
