--- a/Source/Consensus/replica.cxx
+++ b/Source/Consensus/replica.cxx
@@ -24,8 +24,11 @@
 constexpr auto idleWakeInterval = std::chrono::seconds(1);
 constexpr auto leadershipTransferTimeout = std::chrono::seconds(2);
 // Entries kept in memory after a snapshot, so that followers that are slightly behind do not need
-// the snapshot.
+// the snapshot; no more than this number, and of this size.
 constexpr std::uint64_t retainedEntries = 256;
+constexpr std::size_t retainedBytes = 4U << 20U;
+// The time between attempts to save a snapshot that fail.
+constexpr auto snapshotRetryDelay = std::chrono::seconds(1);
 
 // A process whose data folder was emptied has a different identity from the one that the members
 // know at its address. It must not confirm entries or grant votes on behalf of the old identity.
@@ -219,6 +222,7 @@
             continue;
         }
         m_durableIndex = last;
+        m_metricsRegistry.at("mango_log_bytes") = m_storage.logBytesThrough(last);
         advanceCommitIndex();
     }
 }
@@ -240,7 +244,7 @@
             // Lets heartbeats and lease renewals through.
             co_await asio::post(m_executor, asio::use_awaitable);
         }
-        if (m_appliedIndex - m_snapshot.index >= m_options.entriesPerSnapshot) {
+        if (isSnapshotDue()) {
             co_await takeSnapshot();
         }
     }
@@ -289,6 +293,35 @@
     return m_state.saveSnapshot();
 }
 
+bool replica::isSnapshotDue() const
+{
+    if (m_appliedIndex <= m_snapshot.index || m_clock.now() < m_snapshotRetryAt) {
+        return false;
+    }
+    const std::uint64_t bytes = m_storage.logBytesThrough(m_appliedIndex);
+    return m_appliedIndex - m_snapshot.index >= m_options.entriesPerSnapshot
+           || bytes >= std::max<std::uint64_t>(m_options.bytesPerSnapshot, m_snapshot.state.size());
+}
+
+void replica::dropEntriesOfSnapshot()
+{
+    std::uint64_t first = m_snapshot.index + 1;
+    std::size_t bytes = 0;
+    while (first > m_firstIndex && m_snapshot.index + 1 - first < retainedEntries) {
+        bytes += entryAt(first - 1).payload.size();
+        if (bytes > retainedBytes) {
+            break;
+        }
+        --first;
+    }
+    while (m_firstIndex < first) {
+        m_groupBeforeLog = groupAt(m_firstIndex);
+        m_termBeforeLog = m_entries.front().term;
+        m_entries.pop_front();
+        ++m_firstIndex;
+    }
+}
+
 asio::awaitable<void> replica::takeSnapshot()
 {
     stored_snapshot snapshot;
@@ -309,17 +342,13 @@
         ++m_metricsRegistry.at("mango_disk_failures_total");
         logError(log_part::storage,
                  "Could not save a snapshot: " + describe(failureOf(saved)) + ".");
+        m_snapshotRetryAt = m_clock.now() + snapshotRetryDelay;
         co_return;
     }
     ++m_metricsRegistry.at("mango_snapshots_total");
     m_metricsRegistry.at("mango_snapshot_bytes") = snapshot.state.size();
     m_snapshot = std::move(snapshot);
-    while (m_firstIndex + retainedEntries <= m_snapshot.index) {
-        m_groupBeforeLog = groupAt(m_firstIndex);
-        m_termBeforeLog = m_entries.front().term;
-        m_entries.pop_front();
-        ++m_firstIndex;
-    }
+    dropEntriesOfSnapshot();
 }
 
 bool replica::hasLeaderLease() const
--- a/Source/Consensus/replica.h
+++ b/Source/Consensus/replica.h
@@ -52,8 +52,10 @@
     // Each election timeout is chosen at random from this range.
     std::chrono::milliseconds minimumElectionTimeout{600};
     std::chrono::milliseconds maximumElectionTimeout{1200};
-    // The number of applied entries after which a snapshot is taken.
+    // A snapshot is taken after this number of applied entries, or earlier when they have this
+    // number of bytes in the log; never before they have as many bytes as the last snapshot.
     std::uint64_t entriesPerSnapshot = 5000;
+    std::uint64_t bytesPerSnapshot = 16U << 20U;
 };
 
 // Why a proposal was not confirmed as committed. With `notLeader` the command was not appended and
@@ -196,7 +198,10 @@
     boost::asio::awaitable<void> runApplier();
     void applyEntry(const log_entry &entry);
     std::string saveState();
+    [[nodiscard]] bool isSnapshotDue() const;
     boost::asio::awaitable<void> takeSnapshot();
+    // Drops the entries of the snapshot that followers hardly need any more.
+    void dropEntriesOfSnapshot();
     void completeProposal(std::uint64_t index, std::uint64_t term, std::any outcome);
     void abandonProposalsBefore(std::uint64_t index);
 
@@ -259,6 +264,8 @@
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_termStartIndex = 0;
     stored_snapshot m_snapshot;
+    // No snapshot is taken before.
+    steady_time m_snapshotRetryAt{};
     std::string m_incomingSnapshot;
 
     members m_group;
--- a/Source/Consensus/replica_storage.cxx
+++ b/Source/Consensus/replica_storage.cxx
@@ -270,6 +270,15 @@
     co_return truncated;
 }
 
+std::uint64_t replica_storage::logBytesThrough(std::uint64_t index) const
+{
+    if (index < m_firstIndex) {
+        return 0;
+    }
+    const std::uint64_t next = index + 1 - m_firstIndex;
+    return next < m_offsets.size() ? m_offsets[next] : m_logBytes;
+}
+
 asio::awaitable<result<done, disk_failure>>
 replica_storage::saveSnapshot(stored_snapshot snapshot, std::vector<log_entry> followingEntries)
 {
--- a/Source/Consensus/replica_storage.h
+++ b/Source/Consensus/replica_storage.h
@@ -74,6 +74,10 @@
     boost::asio::awaitable<result<done, disk_failure>>
     saveSnapshot(stored_snapshot snapshot, std::vector<log_entry> followingEntries);
 
+    // The size of the log file up to and including the entry at the index, in bytes; of all of it
+    // when there is no such entry.
+    [[nodiscard]] std::uint64_t logBytesThrough(std::uint64_t index) const;
+
 private:
     boost::asio::awaitable<result<done, disk_failure>> truncateLog(std::uint64_t size);
     boost::asio::awaitable<result<done, disk_failure>>
--- a/Source/Control/control_settings.cxx
+++ b/Source/Control/control_settings.cxx
@@ -140,6 +140,8 @@
     settings.replicas.configuredMembers = readReplicas(main);
     settings.replicas.entriesPerSnapshot =
             main.count("snapshot_entries", settings.replicas.entriesPerSnapshot);
+    settings.replicas.bytesPerSnapshot =
+            main.bytes("snapshot_bytes", settings.replicas.bytesPerSnapshot);
     const members &configuredMembers = settings.replicas.configuredMembers;
     const auto self = std::find_if(configuredMembers.begin(), configuredMembers.end(),
                                    [&](const member &one) {
--- a/Source/Dispatch/fleet_settings.cxx
+++ b/Source/Dispatch/fleet_settings.cxx
@@ -67,6 +67,8 @@
     settings.replicas.targetVoters = fleet.count("voters", settings.replicas.targetVoters);
     settings.replicas.entriesPerSnapshot =
             fleet.count("snapshot_entries", settings.replicas.entriesPerSnapshot);
+    settings.replicas.bytesPerSnapshot =
+            fleet.bytes("snapshot_bytes", settings.replicas.bytesPerSnapshot);
     settings.directWorkers = fleet.count("direct_workers", settings.directWorkers);
     const std::uint64_t descriptors = fleet.count("descriptors", defaultDescriptors);
     if (descriptors < minimumDescriptors) {
