rounds: Read the time of day for scheduled jobs only

Since occurrences are opened in a window, each round read the time of day once for each job with tasks to place, with or without a schedule.

--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -128,7 +128,9 @@
         const run_times &seen = state.runTimes[found->second.queueParameters.pathPrefix];
         // Time makes the occurrences of a schedule ready.
         job.isSettled = !graph.schedule;
-        collectOpenings(state, number, found->second, due);
+        if (graph.schedule) {
+            collectOpenings(state, number, found->second, due);
+        }
         for (auto &[at, steps] : job.occurrences) {
             for (std::uint32_t step = 0; step < steps.size(); ++step) {
                 if (!isReady(state, graph, steps, at, step)) {
