jobs: Keep a job cancelled whose cancel was answered before it was known

Cause: a submission whose receipt mark was newer than the cancel was taken for another job. The mark tells how long a call has waited in processes of ours, not how old it is, and a suspension shows in it only by the ticks of the process. A submission that the network alone had held up, or that a platform sends again, passes it.

The refusal depends on no clock and no tick.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -66,15 +66,20 @@
 // The calls that others may have overtaken take `receivedAfter`, how many commands had certainly
 // been applied before they arrived.
 
-// Refuses a submission that may be older than the cancel of its job. A caller that has sent it
-// after the cancel may repeat it.
+// Refuses a submission of a job that was cancelled before it was known. Only when the cancel is not
+// kept any more may a caller that has sent the submission after it repeat it.
 fleet_response refuseEarlyCancelled(const dispatch_state &state, std::uint64_t job)
 {
+    const bool kept = hasKey(state.context.machine.state().earlyCancels, job);
     ++state.context.metricsRegistry.at("mango_submissions_overtaken_total");
-    logEvent(log_part::scheduler, "submission-overtaken", {{"job", formatJobId(job)}});
+    logEvent(log_part::scheduler, "submission-overtaken",
+             {{"job", formatJobId(job)}, {"cancel_kept", kept ? "yes" : "no"}});
     fleet_response response = responseOf(fleet_outcome::refused);
-    response.retryAfter = overtakenRetryDelay;
-    response.text = "the job has been cancelled; the submission may have been sent before";
+    response.text = "the job has been cancelled";
+    if (!kept) {
+        response.retryAfter = overtakenRetryDelay;
+        response.text = "the job may have been cancelled after the submission was sent";
+    }
     return response;
 }
 
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -103,7 +103,6 @@
     if (isCancelledEarly(state, change.job, change.receivedAfter)) {
         return fleet_command_result::overtaken;
     }
-    removeKey(state.earlyCancels, change.job);
     state.jobs.emplace(change.job, makeJob(change.queueParameters, change.graph));
     return fleet_command_result::applied;
 }
@@ -216,7 +215,7 @@
 
 bool isCancelledEarly(const fleet_state &state, std::uint64_t job, std::uint64_t receivedAfter)
 {
-    return receivedAfter < latestCommandOf(state.earlyCancels, job);
+    return hasKey(state.earlyCancels, job) || receivedAfter < state.earlyCancels.latestDropped;
 }
 
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job)
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -67,8 +67,7 @@
     }
 };
 
-// Creates a job unless one with the same id is known, or was cancelled after the submission
-// arrived.
+// Creates a job unless one with the same id is known, or has been cancelled before it was known.
 struct submit_job
 {
     std::uint64_t job = 0;
@@ -278,8 +277,11 @@
 bool isDomainOrderOvertaken(const fleet_state &state, const std::string &failureDomain,
                             std::uint64_t receivedAfter);
 
-// Returns true when a submission of an unknown job may have been sent before the job was cancelled.
-// `receivedAfter` is the number of commands that had certainly been applied before it arrived.
+// Returns true when an unknown job has been cancelled and its submission must not create it. While
+// the cancel is kept, this holds for each submission: the network may hold up a submission for any
+// time, and the caller has been told that the job does not exist. After that, it holds for those
+// that may have been sent before the cancel: `receivedAfter` is the number of commands that had
+// certainly been applied before the submission arrived.
 bool isCancelledEarly(const fleet_state &state, std::uint64_t job, std::uint64_t receivedAfter);
 
 // Returns the phase of a job; nullopt when the job is unknown.
--- a/Source/Fleet/recent_commands.h
+++ b/Source/Fleet/recent_commands.h
@@ -50,6 +50,13 @@
     }
 }
 
+// Returns true when the latest command of a key is kept.
+template<class Key>
+bool hasKey(const recent_commands<Key> &recent, const Key &key)
+{
+    return recent.commandByKey.contains(key);
+}
+
 // Returns the number of the latest command of a key, or one that it does not exceed.
 template<class Key>
 std::uint64_t latestCommandOf(const recent_commands<Key> &recent, const Key &key)
