http: Bound what the connections of a process hold together

Cause: Beast's parser bounds headers and bodies, not trailers and chunk extensions, which it collects in the read buffer until they end; and nothing bounded all connections together. An edge also took more connections than its machine has descriptors, and clients that do not read their responses kept the slots of a control process for the write timeout.

At the limit the connection whose client has made no progress for longest is closed, none that is being served; a request for which nothing can give way is refused with 503. The read buffer is bounded, and so is that of our own client.

Tests: crowd.* start the platform's programs on loopback with 64 MB and 600 descriptors.

--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -16,7 +16,7 @@
 
 // Divides the file descriptors of a control process among its kinds of connections. The rest is for
 // files, other replicas, gateways and the metrics page.
-connection_limits divideDescriptors(std::size_t descriptors);
+connection_limits divideConnections(std::size_t available);
 
 // The settings of one control process of the fleet.
 struct fleet_settings
@@ -35,6 +35,8 @@
     replica_options replicas;
     dispatch_timing timing;
     connection_limits connections;
+    // What the connections from workers and operators hold together.
+    std::uint64_t connectionMemory = 64ULL << 20U;
     // With more workers the leader calls them through the other replicas.
     std::size_t directWorkers = 600;
     // The time limit of a planned stop.
--- a/Source/Dispatch/fleet_settings.cxx
+++ b/Source/Dispatch/fleet_settings.cxx
@@ -1,18 +1,11 @@
 #include "Dispatch/fleet_server.h"
 
-#include <algorithm>
+#include "Http/connection_budget.h"
 
 namespace mango {
 
 namespace {
 
-// The file descriptors of a process without a setting.
-constexpr std::size_t defaultDescriptors = 4096;
-// Fewer would not leave a control process one connection of each kind for a small fleet.
-constexpr std::size_t minimumDescriptors = 512;
-// For files, other replicas, gateways and the metrics page.
-constexpr std::size_t reservedDescriptors = 400;
-
 void readTiming(settings_reader &reader, fleet_settings &settings)
 {
     dispatch_timing &timing = settings.timing;
@@ -37,9 +30,8 @@
 
 } // namespace
 
-connection_limits divideDescriptors(std::size_t descriptors)
+connection_limits divideConnections(std::size_t available)
 {
-    const std::size_t available = descriptors - std::min(descriptors, reservedDescriptors);
     const std::size_t toControl = available / 3;
     return {available - toControl, toControl};
 }
@@ -70,11 +62,9 @@
     settings.replicas.bytesPerSnapshot =
             fleet.bytes("snapshot_bytes", settings.replicas.bytesPerSnapshot);
     settings.directWorkers = fleet.count("direct_workers", settings.directWorkers);
-    const std::uint64_t descriptors = fleet.count("descriptors", defaultDescriptors);
-    if (descriptors < minimumDescriptors) {
-        fleet.reject("descriptors", "must be " + std::to_string(minimumDescriptors) + " or more");
-    }
-    settings.connections = divideDescriptors(descriptors);
+    const connection_budget_limits available = readMachineLimits(fleet);
+    settings.connections = divideConnections(available.connections);
+    settings.connectionMemory = available.bytes;
     settings_reader timing(sectionOf(sections, "timing"), path);
     readTiming(timing, settings);
     const auto finished = finishAll({&fleet, &timing}, sections, {"fleet", "timing"}, path);
--- a/Source/Gateway/gateway_settings.h
+++ b/Source/Gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/settings.h"
+#include "Http/connection_budget.h"
 
 namespace mango {
 
@@ -20,6 +21,8 @@
     host_address metrics;
     // Addresses where control replicas may be found.
     std::vector<host_address> seeds;
+    // What all connections of callers and of the platform's checks hold together.
+    connection_budget_limits connections;
     // How long new connections are still accepted after a signal to stop, while the balancer
     // notices that the process is not ready.
     std::chrono::milliseconds leaveTime{2500};
--- a/Source/Http/http_client.cxx
+++ b/Source/Http/http_client.cxx
@@ -24,6 +24,8 @@
 
 // Limits connection attempts to unreachable hosts, however far away the deadline is.
 constexpr auto connectTimeout = std::chrono::milliseconds(500);
+// What is read ahead of the parser; also bounds trailers and chunk extensions.
+constexpr std::size_t maximumBufferBytes = 64U << 10U;
 
 class plain_stream
 {
@@ -212,7 +214,8 @@
         failure.detail = error.message();
         if (error == beast::error::timeout) {
             failure.reason = http_failure::kind::timedOut;
-        } else if (error == http::error::body_limit || error == http::error::header_limit) {
+        } else if (error == http::error::body_limit || error == http::error::header_limit
+                   || error == http::error::buffer_overflow) {
             failure.reason = http_failure::kind::tooLarge;
         } else if (error.category() == make_error_code(http::error::bad_version).category()
                    && error != http::error::end_of_stream
@@ -230,7 +233,7 @@
     asio::any_io_executor m_executor;
     http_client_options m_options;
     std::unique_ptr<Stream> m_connection;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{maximumBufferBytes};
     bool m_used = false;
     // An exchange has used a connection since close() was last called.
     bool m_connectedBefore = false;
--- a/Source/Http/http_server.cxx
+++ b/Source/Http/http_server.cxx
@@ -3,6 +3,7 @@
 #include <array>
 #include <optional>
 #include <map>
+#include <variant>
 
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
@@ -13,6 +14,7 @@
 #include "Common/log.h"
 #include "Common/wake_event.h"
 #include "Http/beast_messages.h"
+#include "Http/connection_budget.h"
 
 namespace mango {
 
@@ -29,6 +31,10 @@
 // Limits on reading and discarding the rest of a rejected request.
 constexpr auto lingerTime = std::chrono::milliseconds(1000);
 constexpr std::size_t lingerBytes = 4U << 20U;
+// What is read at once while the size of a request is not known.
+constexpr std::size_t firstReadBytes = 8U << 10U;
+// When to retry a request that was refused since others take up the memory for requests.
+constexpr auto crowdedRetryAfterSeconds = "1";
 
 // State shared by the connections of one server.
 struct server_state
@@ -36,6 +42,11 @@
     server_state(clock_source &clock, metrics_registry &metricsRegistry,
                  http_server_options serverOptions)
         : options(std::move(serverOptions))
+        , budget(options.budget ? options.budget
+                                : std::make_shared<connection_budget>(
+                                        clock, metricsRegistry,
+                                        connection_budget_limits{options.connectionMemory,
+                                                                 options.maximumConnections}))
         , requestEnded(clock)
         , requests(
                   metricsRegistry.at("mango_http_requests_total{server=\"" + options.label + "\"}"))
@@ -44,9 +55,11 @@
         , connections(
                   metricsRegistry.at("mango_http_connections{server=\"" + options.label + "\"}"))
         , refused(metricsRegistry.at("mango_http_refused_total{server=\"" + options.label + "\"}"))
+        , crowded(metricsRegistry.at("mango_http_crowded_total{server=\"" + options.label + "\"}"))
     {}
 
     http_server_options options;
+    std::shared_ptr<connection_budget> budget;
     http_handler handler;
     bool draining = false;
     std::size_t requestsInProgress = 0;
@@ -58,6 +71,7 @@
     std::uint64_t &malformed;
     std::uint64_t &connections;
     std::uint64_t &refused;
+    std::uint64_t &crowded;
 };
 
 unsigned statusOf(const error_code &error)
@@ -65,7 +79,9 @@
     if (error == http::error::body_limit) {
         return 413;
     }
-    return error == http::error::header_limit ? 431 : 400;
+    const bool tooLong =
+            error == http::error::header_limit || error == http::error::buffer_overflow;
+    return tooLong ? 431 : 400;
 }
 
 // True when the request is malformed. A truncated request counts too and gets a response, since its
@@ -128,7 +144,7 @@
     }
 }
 
-http::response<http::string_body> toMessage(const http_response &response, unsigned version,
+http::response<http::string_body> toMessage(http_response response, unsigned version,
                                             bool keepAlive)
 {
     http::response<http::string_body> message;
@@ -136,7 +152,7 @@
     message.result(response.status);
     detail::addHeaders(message, response.headers);
     message.keep_alive(keepAlive);
-    message.body() = response.body;
+    message.body() = std::move(response.body);
     message.prepare_payload();
     return message;
 }
@@ -168,35 +184,64 @@
 // Writes the response; returns whether the connection can be used again.
 template<class Stream>
 asio::awaitable<bool> writeResponse(server_state &state, Stream &stream,
-                                    const http_response &response, unsigned version, bool keepAlive)
+                                    budgeted_connection &budgeted, http_response response,
+                                    unsigned version, bool keepAlive)
 {
     error_code error;
-    auto message = toMessage(response, version, keepAlive);
+    const auto truncateAfter = response.truncateAfter;
     beast::get_lowest_layer(stream).expires_after(state.options.writeTimeout);
-    if (response.truncateAfter) {
+    if (truncateAfter) {
+        auto message = toMessage(std::move(response), version, keepAlive);
         http::response_serializer<http::string_body> serializer(message);
         co_await http::async_write_header(stream, serializer,
                                           asio::redirect_error(asio::use_awaitable, error));
-        co_await asio::async_write(stream,
-                                   asio::buffer(response.body.data(), *response.truncateAfter),
+        co_await asio::async_write(stream, asio::buffer(message.body().data(), *truncateAfter),
                                    asio::redirect_error(asio::use_awaitable, error));
         co_return false;
     }
-    const std::string text = detail::textOf(message);
+    const std::string text = detail::textOf(toMessage(std::move(response), version, keepAlive));
+    // The request has been served, so its response is sent in any case.
+    budgeted.update(connection_stage::waiting, text.capacity());
     co_await asio::async_write(stream, asio::buffer(text),
                                asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && keepAlive;
+    co_return !error && keepAlive && !budgeted.isClosed();
 }
 
-// Reads one request; returns no value when the connection is to be closed.
+// A request that was read, the status with which it is refused, or nothing when the connection is
+// to be closed.
+using read_outcome = std::variant<std::monostate, http::request<http::string_body>, unsigned>;
+
+// Reads the rest of a request whose header was read.
+template<class Stream>
+asio::awaitable<error_code> readBody(Stream &stream, budgeted_connection &budgeted,
+                                     beast::flat_buffer &buffer,
+                                     http::request_parser<http::string_body> &parser)
+{
+    error_code error;
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        const std::uint64_t held = buffer.capacity() + parser.get().body().capacity();
+        if (!budgeted.update(connection_stage::waiting, held)) {
+            co_return asio::error::no_memory;
+        }
+        co_await http::async_read_some(stream, buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_return error;
+}
+
+// Reads one request.
 template<class Stream>
-asio::awaitable<std::optional<http::request<http::string_body>>>
-readRequest(server_state &state, Stream &stream, beast::flat_buffer &buffer)
+asio::awaitable<read_outcome> readRequest(server_state &state, Stream &stream,
+                                          budgeted_connection &budgeted, beast::flat_buffer &buffer)
 {
     error_code error;
     http::request_parser<http::string_body> parser;
     parser.header_limit(state.options.maximumHeaderBytes);
     parser.body_limit(state.options.maximumBodyBytes);
+    // Bounds what the parser does not: trailers and chunk extensions.
+    buffer.max_size(std::max<std::size_t>(state.options.maximumHeaderBytes, buffer.size())
+                    + firstReadBytes);
     beast::tcp_stream &lowestLayer = beast::get_lowest_layer(stream);
     if (buffer.size() == 0) {
         // Waits for the first byte under the idle timeout, so that the header timeout
@@ -205,13 +250,16 @@
         state.idleStreams.emplace(idleNumber, &lowestLayer);
         lowestLayer.expires_after(state.options.idleTimeout);
         const std::size_t count = co_await stream.async_read_some(
-                buffer.prepare(8192), asio::redirect_error(asio::use_awaitable, error));
+                buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, error));
         buffer.commit(count);
         state.idleStreams.erase(idleNumber);
         if (error) {
-            co_return std::nullopt;
+            co_return std::monostate{};
         }
     }
+    if (!budgeted.update(connection_stage::waiting, buffer.max_size())) {
+        co_return 503U;
+    }
     bool tooSlow = false;
     {
         const read_guard guard(lowestLayer, state.options.headerTimeout);
@@ -219,23 +267,44 @@
                                          asio::redirect_error(asio::use_awaitable, error));
         tooSlow = guard.expired();
     }
-    if (!error) {
+    if (!error && !parser.is_done()) {
         const read_guard guard(lowestLayer, state.options.headerTimeout);
-        co_await http::async_read(stream, buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        error = co_await readBody(stream, budgeted, buffer, parser);
         tooSlow = guard.expired();
     }
+    if (budgeted.isClosed()) {
+        co_return std::monostate{};
+    }
     if (!error) {
+        const std::uint64_t decoded =
+                parser.get().body().size() * state.options.decodedBytesPerBodyByte;
+        if (!budgeted.update(connection_stage::serving, buffer.capacity() + decoded)) {
+            co_return 503U;
+        }
         co_return parser.release();
     }
+    if (error == asio::error::no_memory) {
+        co_return 503U;
+    }
     if (tooSlow || isProtocolError(error)) {
         ++state.malformed;
-        const unsigned status = tooSlow ? 408 : statusOf(error);
-        const http_response response{status, {{"Mango-Outcome", "not-run"}}, ""};
-        co_await writeResponse(state, stream, response, 11, false);
-        co_await lingerAndDiscard(stream);
+        co_return tooSlow ? 408U : statusOf(error);
     }
-    co_return std::nullopt;
+    co_return std::monostate{};
+}
+
+// Tells the sender that its request was not read to its end, or not served.
+template<class Stream>
+asio::awaitable<void> refuseRequest(server_state &state, Stream &stream,
+                                    budgeted_connection &budgeted, unsigned status)
+{
+    http_response response{status, {{"Mango-Outcome", "not-run"}}, ""};
+    if (status == 503) {
+        ++state.crowded;
+        response.headers.emplace_back("Retry-After", crowdedRetryAfterSeconds);
+    }
+    co_await writeResponse(state, stream, budgeted, std::move(response), 11, false);
+    co_await lingerAndDiscard(stream);
 }
 
 template<class Stream>
@@ -246,6 +315,10 @@
     const host_address peer{endpoint.address().to_string(), endpoint.port()};
     beast::get_lowest_layer(stream).socket().set_option(tcp::no_delay(true), error);
     beast::flat_buffer buffer;
+    budgeted_connection budgeted(state->budget, [&stream] {
+        error_code ignored;
+        beast::get_lowest_layer(stream).socket().shutdown(tcp::socket::shutdown_both, ignored);
+    });
     bool open = true;
     bool isFirst = true;
     std::uint64_t receiptMark = 0;
@@ -256,8 +329,18 @@
                 !isFirst
                 && (buffer.size() > 0 || pendingInputOf(lowestLayer) == pending_input::bytes);
         isFirst = false;
-        auto message = co_await readRequest(*state, stream, buffer);
-        if (!message) {
+        budgeted.update(connection_stage::waiting, buffer.capacity());
+        if (budgeted.isClosed()) {
+            break;
+        }
+        read_outcome outcome = co_await readRequest(*state, stream, budgeted, buffer);
+        if (const auto *status = std::get_if<unsigned>(&outcome)) {
+            buffer = {};
+            co_await refuseRequest(*state, stream, budgeted, *status);
+            break;
+        }
+        auto *message = std::get_if<http::request<http::string_body>>(&outcome);
+        if (message == nullptr) {
             break;
         }
         ++state->requests;
@@ -275,7 +358,7 @@
         if (headOnly) {
             response.body.clear();
         }
-        open = co_await writeResponse(*state, stream, response, version,
+        open = co_await writeResponse(*state, stream, budgeted, std::move(response), version,
                                       keepAlive && !state->draining);
         --state->requestsInProgress;
         if (state->draining) {
@@ -384,10 +467,6 @@
                 }
                 continue;
             }
-            if (m_state->connections >= m_state->options.maximumConnections && !closeIdleStream()) {
-                recordAcceptFailure("the limit of connections is reached");
-                continue;
-            }
             ++m_state->connections;
             beast::tcp_stream stream(std::move(socket));
             if (m_tls) {
@@ -400,19 +479,6 @@
         }
     }
 
-    // Closes the connection that has been idle for longest; false when none is idle.
-    bool closeIdleStream()
-    {
-        if (m_state->idleStreams.empty()) {
-            return false;
-        }
-        error_code ignored;
-        const auto longestIdle = m_state->idleStreams.begin();
-        longestIdle->second->socket().shutdown(tcp::socket::shutdown_receive, ignored);
-        m_state->idleStreams.erase(longestIdle);
-        return true;
-    }
-
     void recordAcceptFailure(const std::string &reason)
     {
         ++m_state->refused;
@@ -443,6 +509,10 @@
     options.idleTimeout = reader.duration("idle_timeout", options.idleTimeout);
     options.writeTimeout = reader.duration("write_timeout", options.writeTimeout);
     options.maximumConnections = reader.count("maximum_connections", options.maximumConnections);
+    options.connectionMemory = reader.bytes("connection_memory", options.connectionMemory);
+    if (options.connectionMemory < minimumMachineBytes) {
+        reader.reject("connection_memory", "must be 32MB or more");
+    }
     options.certificateFile = reader.text("certificate", "");
     options.keyFile = reader.text("key", "");
     if (options.certificateFile.empty() != options.keyFile.empty()) {
--- a/Source/Http/http_server.h
+++ b/Source/Http/http_server.h
@@ -11,6 +11,8 @@
 
 namespace mango {
 
+class connection_budget;
+
 // Address, limits and TLS files of an HTTP server.
 struct http_server_options
 {
@@ -20,7 +22,14 @@
     std::chrono::milliseconds headerTimeout{5000};
     std::chrono::milliseconds idleTimeout{60'000};
     std::chrono::milliseconds writeTimeout{10'000};
+    // What all connections hold together. At a limit the connection whose client has made no
+    // progress for longest is closed, but none whose request is being served.
     std::size_t maximumConnections = 4096;
+    std::uint64_t connectionMemory = 256ULL << 20U;
+    // Replaces the two limits above when it is set: the budget that the server shares with others.
+    std::shared_ptr<connection_budget> budget;
+    // What a request holds while it is served, for each byte of its body.
+    std::uint64_t decodedBytesPerBodyByte = 2;
     // The server uses TLS when both are set.
     std::string certificateFile;
     std::string keyFile;
@@ -48,7 +57,7 @@
 
 // Serves HTTP/1.1 with one coroutine per connection. A malformed request is answered with status
 // 400 (408 when it is too slow, 413 or 431 when it is too large), and its connection is closed;
-// other connections are not affected.
+// other connections are not affected. A request for which there is no room is answered with 503.
 class http_server
 {
 public:
--- a/Source/Http/metrics_page.cxx
+++ b/Source/Http/metrics_page.cxx
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t maximumMetricsConnections = 64;
+
 boost::asio::awaitable<http_response> serveMetrics(metrics_registry &metricsRegistry,
                                                    http_request request)
 {
@@ -23,9 +25,13 @@
 std::unique_ptr<http_server> makeMetricsServer(boost::asio::any_io_executor executor,
                                                clock_source &clock,
                                                metrics_registry &metricsRegistry,
-                                               const host_address &listen)
+                                               const host_address &listen,
+                                               std::shared_ptr<connection_budget> budget)
 {
     http_server_options options;
+    options.budget = std::move(budget);
+    options.maximumBodyBytes = 0;
+    options.maximumConnections = maximumMetricsConnections;
     options.listen = listen;
     options.label = "metrics";
     return makeHttpServer(std::move(executor), clock, metricsRegistry, options,
