customers: Check keys, keep quotas and place by shares

Change: customers are part of the configuration. Without customers nothing acts.

Tests: customers.*, customer_*.*, platform_codec.decodesCustomers.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -57,14 +57,38 @@
     return state.context.machine.state().configuration.version > 0;
 }
 
-queue_parameters termsOf(const queue_route &route)
+queue_parameters termsOf(const queue_route &route, customer_id customer)
 {
-    return {route.host,    route.pathPrefix,   route.service, route.priority, route.maximumFailures,
-            route.stretch, route.targetLatency};
+    return {route.host,
+            route.pathPrefix,
+            route.service,
+            route.priority,
+            route.maximumFailures,
+            route.stretch,
+            route.targetLatency,
+            customer};
 }
 
-// The calls that others may have overtaken take `receivedAfter`, how many commands had certainly
-// been applied before they arrived.
+// Returns the customer of a caller; nothing when the queue needs a key that the caller lacks.
+std::optional<customer_id> customerOf(const dispatch_state &state, const queue_route &route,
+                                      const fleet_call &origin)
+{
+    const auto customer =
+            authenticate(state.context.machine.state().configuration, route, origin.keyDigest);
+    if (!customer) {
+        ++state.context.metricsRegistry.at("mango_calls_unauthorized_total");
+    }
+    return customer;
+}
+
+// True when the job is one of another customer, who alone learns of it.
+bool isHiddenFrom(const dispatch_state &state, std::uint64_t job, customer_id customer)
+{
+    const customer_id owner = ownerOf(state.context.machine.state(), job);
+    return owner != 0 && customer != 0 && owner != customer;
+}
+
+// Calls of callers take the call that they came with, for its mark and its key.
 
 // Refuses a submission of a job that was cancelled before it was known. Only when the cancel is not
 // kept any more may a caller that has sent the submission after it repeat it.
@@ -84,12 +108,17 @@
 }
 
 asio::awaitable<fleet_response> serve(dispatch_handle state, submit_call call,
-                                      std::uint64_t receivedAfter)
+                                      const fleet_call &origin)
 {
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
     if (resolved.route == nullptr) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
+    const auto customer = customerOf(*state, *resolved.route, origin);
+    if (!customer) {
+        co_return responseOf(fleet_outcome::unauthorized);
+    }
+    const std::uint64_t receivedAfter = origin.receivedAfter;
     if (!resolved.job) {
         fleet_response response = responseOf(fleet_outcome::invalid);
         response.text = "the path does not end with a job's name";
@@ -98,7 +127,10 @@
     const auto known = phaseOf(state->context.machine.state(), *resolved.job);
     if (known) {
         fleet_response response = responseOf(fleet_outcome::accepted);
-        response.phase = known;
+        // The job stays one job whatever key a duplicate has.
+        if (!isHiddenFrom(*state, *resolved.job, *customer)) {
+            response.phase = known;
+        }
         co_return response;
     }
     if (const auto failure = checkGraph(call.graph)) {
@@ -111,7 +143,7 @@
     }
     const std::string queue = resolved.route->name;
     const std::size_t steps = call.graph.steps.size();
-    fleet_command change = submit_job{*resolved.job, termsOf(*resolved.route),
+    fleet_command change = submit_job{*resolved.job, termsOf(*resolved.route, *customer),
                                       std::move(call.graph), receivedAfter};
     const steady_time receivedAt = state->context.clock.now();
     const auto committed = co_await commitCommand(state, std::move(change));
@@ -129,20 +161,26 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call,
+                                      const fleet_call &origin)
 {
     const fleet_state &committed = state->context.machine.state();
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
     if (resolved.route == nullptr) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
+    const auto customer = customerOf(*state, *resolved.route, origin);
+    if (!customer) {
+        co_return responseOf(fleet_outcome::unauthorized);
+    }
     fleet_response response = responseOf(fleet_outcome::accepted);
     if (resolved.isQueue) {
         response.waiting = countQueuedJobs(committed, *resolved.route);
         co_return response;
     }
     response.phase = resolved.job ? phaseOf(committed, *resolved.job) : std::nullopt;
-    if (!response.phase) {
+    if (!response.phase || isHiddenFrom(*state, *resolved.job, *customer)) {
+        response.phase.reset();
         response.outcome = fleet_outcome::unknownJob;
         co_return response;
     }
@@ -152,13 +190,18 @@
     co_return response;
 }
 
-asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call)
+asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call,
+                                      const fleet_call &origin)
 {
     const resolved_path resolved = resolvePath(*state, call.host, call.path);
     if (resolved.route == nullptr) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
-    if (!resolved.job) {
+    const auto customer = customerOf(*state, *resolved.route, origin);
+    if (!customer) {
+        co_return responseOf(fleet_outcome::unauthorized);
+    }
+    if (!resolved.job || isHiddenFrom(*state, *resolved.job, *customer)) {
         co_return responseOf(fleet_outcome::unknownJob);
     }
     fleet_command change = cancel_job{*resolved.job};
@@ -197,8 +240,9 @@
 }
 
 asio::awaitable<fleet_response> serve(dispatch_handle state, domain_call call,
-                                      std::uint64_t receivedAfter)
+                                      const fleet_call &origin)
 {
+    const std::uint64_t receivedAfter = origin.receivedAfter;
     const bool out =
             state->context.machine.state().domainsOutOfService.contains(call.failureDomain);
     if (out == call.outOfService) {
@@ -319,8 +363,8 @@
     fleet_call owned = std::move(call);
     co_return co_await std::visit(
             [&](auto &typed) {
-                if constexpr (requires { serve(state, std::move(typed), owned.receivedAfter); }) {
-                    return serve(state, std::move(typed), owned.receivedAfter);
+                if constexpr (requires { serve(state, std::move(typed), owned); }) {
+                    return serve(state, std::move(typed), owned);
                 } else {
                     return serve(state, std::move(typed));
                 }
--- a/Source/Dispatch/dispatch_state.cxx
+++ b/Source/Dispatch/dispatch_state.cxx
@@ -122,6 +122,7 @@
     }
     const tracked_worker_handle worker = where->second;
     state.workerByRun.erase(where);
+    forgetCustomerRun(state, key);
     const auto run = worker->runs.find(key);
     if (run != worker->runs.end()) {
         removeFromUsage(*worker, run->second);
@@ -166,6 +167,7 @@
     addToUsage(*worker, run);
     markOfferChanged(state, worker);
     state.workerByRun[key] = worker;
+    countCustomerRun(state, key, run.resources);
     countRun(state, *worker, key);
     return &(worker->runs[key] = std::move(run));
 }
@@ -260,6 +262,7 @@
     addToUsage(*worker, run);
     markOfferChanged(state, worker);
     state.workerByRun[key] = worker;
+    countCustomerRun(state, key, run.resources);
     countRun(state, *worker, key);
     return worker->runs[key] = std::move(run);
 }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "Dispatch/customer_runs.h"
 #include "Common/wake_event.h"
 #include "Common/work_meter.h"
 #include "Dispatch/round_work.h"
@@ -328,6 +329,7 @@
     // The opening of occurrences has been proposed and is not committed yet.
     bool openingProposed = false;
     interference_model interference;
+    customer_ledger customers;
     // By the path prefix of a queue.
     std::map<std::string, run_times> runTimes;
     steady_time pressuresSavedAt{};
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -296,8 +296,7 @@
         if (message.forwardCount > 0) {
             co_return co_await serveLocally(std::move(request));
         }
-        const std::uint64_t receivedAfter = request.receivedAfter;
-        co_return co_await serve(std::move(request.request), receivedAfter);
+        co_return co_await serve(std::move(request));
     }
     if (auto *forWorker = std::get_if<worker_call>(&message.message)) {
         co_return co_await relayWorkerCall(std::move(*forWorker));
@@ -366,14 +365,19 @@
 asio::awaitable<fleet_response> fleet_server::serve(fleet_request request,
                                                     std::uint64_t receivedAfter)
 {
-    if (std::holds_alternative<read_configuration_call>(request)) {
+    return serve(fleet_call{std::move(request), receivedAfter});
+}
+
+asio::awaitable<fleet_response> fleet_server::serve(fleet_call call)
+{
+    if (std::holds_alternative<read_configuration_call>(call.request)) {
         return readConfiguration();
     }
-    if (const auto *announced = std::get_if<heartbeat_call>(&request);
+    if (const auto *announced = std::get_if<heartbeat_call>(&call.request);
         announced != nullptr && !m_leadership && isUnchanged(announced->heartbeat)) {
         return acceptUnchanged();
     }
-    return serveOrForward({std::move(request), receivedAfter});
+    return serveOrForward(std::move(call));
 }
 
 asio::awaitable<fleet_response> fleet_server::serveOrForward(fleet_call call)
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -73,6 +73,7 @@
     // leader. `receivedAfter` is what receiptMark() returned when the request was read.
     boost::asio::awaitable<fleet_response> serve(fleet_request request,
                                                  std::uint64_t receivedAfter);
+    boost::asio::awaitable<fleet_response> serve(fleet_call call);
     // The number of commands that were certainly applied before any request arrived that is read
     // now.
     [[nodiscard]] std::uint64_t receiptMark() const
--- a/Source/Dispatch/index_updates.cxx
+++ b/Source/Dispatch/index_updates.cxx
@@ -90,6 +90,7 @@
 void closeJob(const dispatch_handle &state, std::uint64_t number)
 {
     state->jobs.erase(number);
+    forgetCustomerJob(*state, number);
     stopRunsFrom(state, {number, 0, 0, 0}, [number](const task_key &other) {
         return other.job == number;
     });
@@ -121,6 +122,7 @@
     tracked.queue = job.queueParameters.pathPrefix;
     beginAccount(state, tracked, job);
     addOccurrences(tracked, job);
+    countCustomerJob(state, number, job.queueParameters, tracked.knownSince);
     state.jobs[number] = std::move(tracked);
 }
 
--- a/Source/Dispatch/round_report.cxx
+++ b/Source/Dispatch/round_report.cxx
@@ -362,6 +362,7 @@
               {"unconfirmed", unsettled.unconfirmed},
               {"stopping", unsettled.stopping}});
     exportWork(state.context.metricsRegistry, summary.work);
+    exportCustomers(state);
     logWork(summary.work);
     logCoreUse(round);
     summary = {};
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -138,10 +138,12 @@
                 }
                 job.isSettled = false;
                 updateEstimates(seen, found->second, job, now);
-                const step_urgency urgency{
-                        found->second.queueParameters.priority, graph.steps[step].longRunning,
-                        job.knownSince + job.objective,
-                        job.knownSince + job.objective * noValueFactor, job.criticalPaths[step]};
+                step_urgency urgency{found->second.queueParameters.priority,
+                                     graph.steps[step].longRunning, job.knownSince + job.objective,
+                                     job.knownSince + job.objective * noValueFactor,
+                                     job.criticalPaths[step]};
+                urgency.yieldsToOthers =
+                        yieldsToOthers(state, number, found->second.queueParameters);
                 const ready_step one{number, at, step, &found->second, &steps[step], urgency};
                 if (!urgency.longRunning) {
                     ready.push_back(one);
@@ -321,6 +323,7 @@
         updateOffers(*state, round);
         beginPart(*state, round_part::collect);
         open_occurrences due;
+        updateCustomers(*state);
         const std::vector<ready_step> ready = collectReadySteps(*state, due);
         proposeOpenings(state, std::move(due));
         beginPart(*state, round_part::place);
--- a/Source/Dispatch/straggler_runs.cxx
+++ b/Source/Dispatch/straggler_runs.cxx
@@ -164,6 +164,9 @@
         ready.committedJob = &job->second;
         ready.tracked = &step;
         ready.urgency.longRunning = run.longRunning;
+        if (!mayStart(*state, ready, 1)) {
+            continue;
+        }
         ready.tracked->avoidedWorkers[key.task.index].insert(worker->record.incarnation);
         std::optional<offer_ranking> ranking;
         const std::uint32_t nextRun = task->lastRun + 1;
--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -304,6 +304,9 @@
     if (ready.tracked->waiting.size() < tasks.size()) {
         return;
     }
+    if (!mayStart(*state, ready, tasks.size())) {
+        return;
+    }
     const bool mayHold = deservesHeldRoom(*state, ready);
     gang_trial trial = reserveGang(state, round, ready, tasks.size(), mayHold, started);
     if (!trial.fits) {
@@ -456,6 +459,9 @@
                 ++at;
                 continue;
             }
+            if (!mayStart(*state, ready, 1)) {
+                break;
+            }
             const trial_outcome trial =
                     tryIfSuspect(state, round, ready, index, task.lastRun + 1, started);
             if (trial == trial_outcome::placed) {
--- a/Source/Fleet/configuration.cxx
+++ b/Source/Fleet/configuration.cxx
@@ -1,5 +1,6 @@
 #include "Fleet/configuration.h"
 
+#include <map>
 #include <set>
 
 namespace mango {
@@ -19,6 +20,8 @@
         return "route " + failure.element + " has the host and path of another route";
     case configuration_failure::kind::zeroTimeout:
         return "route " + failure.element + " has a timeout of 0";
+    case configuration_failure::kind::sharedKey:
+        return "customer " + failure.element + " has a key of another customer";
     }
     return "not a configuration";
 }
@@ -41,6 +44,31 @@
             return configuration_failure{configuration_failure::kind::zeroTimeout, route.name};
         }
     }
+    std::map<std::string, std::string> customerByKey;
+    for (const customer &one : configuration.customers) {
+        for (const std::string &digest : one.keyDigests) {
+            const auto [known, added] = customerByKey.emplace(digest, one.name);
+            if (!added && known->second != one.name) {
+                return configuration_failure{configuration_failure::kind::sharedKey, one.name};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<customer_id> authenticate(const fleet_configuration &configuration,
+                                        const queue_route &route, const std::string &keyDigest)
+{
+    for (const customer &one : configuration.customers) {
+        for (const std::string &digest : one.keyDigests) {
+            if (digest == keyDigest) {
+                return customerId(one.name);
+            }
+        }
+    }
+    if (configuration.customers.empty() || route.isPublic) {
+        return 0;
+    }
     return std::nullopt;
 }
 
--- a/Source/Fleet/configuration.h
+++ b/Source/Fleet/configuration.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "Fleet/customer.h"
+
 namespace mango {
 
 // A queue: callers submit jobs below a path of a host, and the workers of a service run them. The
@@ -22,12 +24,14 @@
     std::chrono::milliseconds targetLatency{0};
     // Time limit in milliseconds that the operator sets for the route; must be positive.
     std::chrono::milliseconds timeout{0};
+    // Callers need no key.
+    bool isPublic = false;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(name, host, pathPrefix, service, priority, maximumFailures, stretch, targetLatency,
-                timeout);
+                timeout, isPublic);
     }
 };
 
@@ -70,12 +74,14 @@
     std::vector<queue_route> routes;
     std::vector<worker_service> services;
     caller_limits limits;
+    // Without any, callers need no keys.
+    std::vector<customer> customers;
     std::string source;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(version, routes, services, limits, source);
+        archive(version, routes, services, limits, customers, source);
     }
 };
 
@@ -88,7 +94,9 @@
         badField,
         unknownService,
         duplicateRoute,
-        zeroTimeout
+        zeroTimeout,
+        // Two customers have a key in common.
+        sharedKey
     };
     kind reason = kind::unreadable;
     // The invalid route, service or field.
@@ -101,6 +109,11 @@
 // Validates a configuration; nullopt if it is valid.
 std::optional<configuration_failure> checkConfiguration(const fleet_configuration &configuration);
 
+// Returns the customer whose key has the digest, 0 on a public route or without customers; nothing
+// when the route needs a key and no customer has this one.
+std::optional<customer_id> authenticate(const fleet_configuration &configuration,
+                                        const queue_route &route, const std::string &keyDigest);
+
 // Returns the route of the host with the longest matching path prefix; nullptr when none matches.
 const queue_route *findRoute(const fleet_configuration &configuration, const std::string &host,
                              const std::string &path);
--- a/Source/Fleet/fleet_state.cxx
+++ b/Source/Fleet/fleet_state.cxx
@@ -27,10 +27,14 @@
     if (found->second.phase == job_phase::failed) {
         state.failures[number] = found->second.failure;
     }
+    if (found->second.queueParameters.customer != 0) {
+        state.finishedOwners[number] = found->second.queueParameters.customer;
+    }
     state.jobs.erase(found);
     while (state.finishedOrder.size() > maximumFinishedJobs) {
         state.finished.erase(state.finishedOrder.front());
         state.failures.erase(state.finishedOrder.front());
+        state.finishedOwners.erase(state.finishedOrder.front());
         state.finishedOrder.pop_front();
     }
 }
@@ -229,6 +233,15 @@
     return std::nullopt;
 }
 
+customer_id ownerOf(const fleet_state &state, std::uint64_t job)
+{
+    if (const auto open = state.jobs.find(job); open != state.jobs.end()) {
+        return open->second.queueParameters.customer;
+    }
+    const auto over = state.finishedOwners.find(job);
+    return over == state.finishedOwners.end() ? 0 : over->second;
+}
+
 const job_failure_report *failureOf(const fleet_state &state, std::uint64_t job)
 {
     if (const auto open = state.jobs.find(job); open != state.jobs.end()) {
--- a/Source/Fleet/fleet_state.h
+++ b/Source/Fleet/fleet_state.h
@@ -241,6 +241,8 @@
     // Final phases of the most recent other jobs, and the order in which those jobs ended.
     std::map<std::uint64_t, job_phase> finished;
     std::deque<std::uint64_t> finishedOrder;
+    // The customers of those of them that have one.
+    std::map<std::uint64_t, customer_id> finishedOwners;
     // Why those of them failed that did.
     std::map<std::uint64_t, job_failure_report> failures;
     std::vector<pressure_record> pressures;
@@ -255,8 +257,8 @@
     void serialize(Archive &archive)
     {
         archive(configuration, domainsOutOfService, workers, heartbeatSequences,
-                incarnationsRegistered, incarnationNumbers, jobs, finished, finishedOrder, failures,
-                pressures, commandsApplied, domainChanges, earlyCancels);
+                incarnationsRegistered, incarnationNumbers, jobs, finished, finishedOrder,
+                finishedOwners, failures, pressures, commandsApplied, domainChanges, earlyCancels);
     }
 };
 
@@ -287,6 +289,9 @@
 // Returns the phase of a job; nullopt when the job is unknown.
 std::optional<job_phase> phaseOf(const fleet_state &state, std::uint64_t job);
 
+// Returns the customer of a job; 0 when it has none, or the job is unknown.
+customer_id ownerOf(const fleet_state &state, std::uint64_t job);
+
 // Returns why a job has failed; null when it has not, or is unknown.
 const job_failure_report *failureOf(const fleet_state &state, std::uint64_t job);
 
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -103,11 +103,14 @@
     // The completion objective of a job is stretch times its critical path plus targetLatency.
     double stretch = 1;
     std::chrono::milliseconds targetLatency{0};
+    // The customer whose key the submission had (Fleet/customer.h); 0 for none.
+    std::uint64_t customer = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(host, pathPrefix, service, priority, maximumFailures, stretch, targetLatency);
+        archive(host, pathPrefix, service, priority, maximumFailures, stretch, targetLatency,
+                customer);
     }
 };
 
--- a/Source/Scheduling/step_order.cxx
+++ b/Source/Scheduling/step_order.cxx
@@ -52,7 +52,8 @@
         const steady_span sortKey =
                 late == 0 ? step.deadline - step.remainingCriticalPath - steady_time{}
                           : steady_span(step.remainingCriticalPath);
-        return std::make_tuple(late == 2, step.priority, classOf(step), late, sortKey);
+        return std::make_tuple(late == 2, step.priority, classOf(step), step.yieldsToOthers, late,
+                               sortKey);
     };
     return rank(first) < rank(second);
 }
--- a/Source/Scheduling/step_order.h
+++ b/Source/Scheduling/step_order.h
@@ -23,6 +23,8 @@
     bool isRestart = false;
     // First runs of a long-running step that have waited for too long.
     bool isOverdue = false;
+    // The job's customer has more than its share.
+    bool yieldsToOthers = false;
 };
 
 // Returns true when the first step is placed before the second. Handles a burst on several queues:
@@ -35,7 +37,8 @@
 // long-running tasks get the rest in the same round. That holds for the first runs of long-running
 // tasks that are not overdue. Their restarts go before short tasks, as they were admitted before
 // and a backlog of short tasks could keep them waiting for as long as it lasts; overdue first runs
-// go between the two.
+// go between the two. Among steps of one priority and kind, those of customers above their share go
+// last.
 bool precedes(const step_urgency &first, const step_urgency &second, steady_time now);
 
 } // namespace mango
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -126,11 +126,13 @@
     // How many commands the group had certainly applied before the request arrived at the first of
     // its processes. Tells a request that was held up from one that was sent after a later command.
     std::uint64_t receivedAfter = 0;
+    // The digest of the caller's key; empty without a key.
+    std::string keyDigest = {};
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(request, receivedAfter);
+        archive(request, receivedAfter, keyDigest);
     }
 };
 
@@ -148,7 +150,9 @@
     // The call may or may not have been accepted.
     uncertain,
     // No leader is known, or the callee has lost contact with the group; the call had no effect.
-    unavailable
+    unavailable,
+    // The queue needs a key, and the caller has none that the configuration knows.
+    unauthorized
 };
 
 // The response to a fleet_call; the fields that do not apply are empty.
--- a/Tests/Unit/platform_codec_test.cxx
+++ b/Tests/Unit/platform_codec_test.cxx
@@ -41,6 +41,30 @@
 
 } // namespace
 
+TEST(platform_codec, decodesCustomers)
+{
+    const std::string withCustomers = withReplacement(
+            validConfiguration, R"("limits")",
+            R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"weight":19,)"
+            R"("max_count":{"cpu":1897323,"mem_mb":3406163,"gpu":0}},{"name":"u"}],"limits")");
+    const auto decoded = decodeConfiguration(withCustomers);
+    const auto *configuration = std::get_if<fleet_configuration>(&decoded);
+    ASSERT_NE(configuration, nullptr);
+    ASSERT_EQ(configuration->customers.size(), 2U);
+    const customer &first = configuration->customers[0];
+    EXPECT_EQ(first.name, "t");
+    EXPECT_EQ(first.weight, 19);
+    EXPECT_EQ(first.quota, (resource_totals{1'897'323, 3'406'163, 0}));
+    EXPECT_EQ(first.keyDigests, (std::vector<std::string>{digestOfKey("k1"), digestOfKey("k2")}));
+    EXPECT_EQ(configuration->customers[1].quota, resource_totals{});
+    EXPECT_TRUE(isRefused(withReplacement(withCustomers, R"("name":"u")", R"("nome":"u")")));
+    EXPECT_TRUE(isRefused(withReplacement(withCustomers, R"(["k1","k2"])", R"("k1")")));
+    EXPECT_TRUE(isRefused(withReplacement(withCustomers, R"("weight":19)", R"("weight":-1)")));
+    EXPECT_TRUE(isRefused(withReplacement(withCustomers, "1897323", "-1")));
+    EXPECT_TRUE(isRefused(
+            withReplacement(withCustomers, R"("name":"u")", R"("name":"u","api_keys":["k2"])")));
+}
+
 TEST(platform_codec, decodesAConfiguration)
 {
     const auto decoded = decodeConfiguration(validConfiguration);
