scheduling: Let restarts of lasting tasks wait for short tasks in a shortage

Change: while short tasks have lacked room within 3 s and lasting tasks have 85% of the cores, restarts wait like first runs, one a step and second after 2 s, and all of them after 5 s. A job whose tasks are at work but for some loses their share; a short job that gets no room in time is lost whole. The bound leaves time before the 6 s after which the platform expects the task to run. Without such a shortage nothing changes.

Tests: room_shortage.restartsTakeTheRoomOfShortTasksAtOnce failed with the deferral of restarts taken out.

--- a/Source/Dispatch/task_placement.cxx
+++ b/Source/Dispatch/task_placement.cxx
@@ -207,11 +207,10 @@
 }
 
 // True when short tasks of the service have waited for room lately, so that the next task of a
-// long-running step that has not run yet waits for them. Room for two such tasks is more than they
-// can use.
-bool defersFirstRun(dispatch_state &state, round_offers &round, const ready_step &ready)
+// long-running step waits for them. Room for two such tasks is more than they can use.
+bool waitsForShortTasks(dispatch_state &state, round_offers &round, const ready_step &ready)
 {
-    if (!ready.urgency.longRunning || ready.urgency.isRestart) {
+    if (!ready.urgency.longRunning) {
         return false;
     }
     placement_request request = makeRequest(state, ready, 0);
@@ -220,6 +219,10 @@
     if (admitsLongRunning(room, request.step->resources.milliCores, now)) {
         return false;
     }
+    if (ready.urgency.isRestart
+        && areRestartsDueDespiteShortage(ready.tracked->restartsWait.since, now)) {
+        return false;
+    }
     std::optional<steady_time> &admittedAt = ready.tracked->admittedInShortageAt;
     if (isDueDespiteShortage({waitOf(ready).since, admittedAt}, now)) {
         admittedAt = now;
@@ -472,7 +475,7 @@
                 ++at;
                 continue;
             }
-            if (defersFirstRun(*state, round, ready)) {
+            if (waitsForShortTasks(*state, round, ready)) {
                 someUnplaced = true;
                 break;
             }
--- a/Source/Scheduling/room_shortage.cxx
+++ b/Source/Scheduling/room_shortage.cxx
@@ -10,6 +10,8 @@
 constexpr auto shortageMemory = std::chrono::seconds(3);
 // How long the first runs of a step wait for short tasks, and how often one is placed afterwards.
 constexpr auto longestDeferral = std::chrono::milliseconds(2000);
+// How long restarts wait for short tasks.
+constexpr auto longestRestartDeferral = std::chrono::milliseconds(5000);
 constexpr auto admissionInterval = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -27,6 +29,11 @@
     return waitedForLong && (!wait.admittedAt || now - *wait.admittedAt >= admissionInterval);
 }
 
+bool areRestartsDueDespiteShortage(const std::optional<steady_time> &waitingSince, steady_time now)
+{
+    return waitingSince && now - *waitingSince > longestRestartDeferral;
+}
+
 bool canHold(const service_room &room, const resource_amounts &requested)
 {
     return requested.milliCores <= room.largest.milliCores
--- a/Source/Scheduling/room_shortage.h
+++ b/Source/Scheduling/room_shortage.h
@@ -40,6 +40,12 @@
 // long gets one run a second, so that its job does not wait for as long as the shortage lasts.
 bool isDueDespiteShortage(const first_run_wait &wait, steady_time now);
 
+// Returns true when the restarts of a long-running step are placed despite a shortage of room. The
+// other tasks of its job go on meanwhile, while a short task that gets no room in time is lost with
+// its whole job; but a restart was admitted before, so that it waits for a shorter time, and then
+// all of them are placed.
+bool areRestartsDueDespiteShortage(const std::optional<steady_time> &waitingSince, steady_time now);
+
 // Returns true when some worker of the service can hold the resources. Tasks that none can hold
 // show no shortage.
 bool canHold(const service_room &room, const resource_amounts &requested);
--- a/Tests/Unit/room_shortage_test.cxx
+++ b/Tests/Unit/room_shortage_test.cxx
@@ -108,6 +108,43 @@
     EXPECT_EQ(fleet.longRunningStarts(), before + 1);
 }
 
+TEST(room_shortage, restartsWaitForAShorterTime)
+{
+    const steady_time now{seconds(100)};
+    EXPECT_FALSE(areRestartsDueDespiteShortage(std::nullopt, now));
+    EXPECT_FALSE(areRestartsDueDespiteShortage(now - milliseconds(4900), now));
+    EXPECT_TRUE(areRestartsDueDespiteShortage(now - milliseconds(5100), now));
+}
+
+// Workers are lost on a service that is nearly full, and short tasks lack room. The restarts of
+// long-running tasks took all room that became free, at once; but they must not wait for as long as
+// the shortage lasts either.
+TEST(room_shortage, restartsTakeTheRoomOfShortTasksAtOnce)
+{
+    turnover_fleet fleet;
+    for (int job = 0; job < 3; ++job) {
+        fleet.cancelOldest();
+    }
+    // For long enough to show the shortage, and then until the restarts have waited for longest.
+    for (int round = 0; round < 180; ++round) {
+        if (round == 20) {
+            fleet.workers.leave("w119");
+        }
+        fleet.submit(fleet.nextShort++, fleet_group::oneStep(12, 6'000));
+        fleet.run(milliseconds(100));
+    }
+    std::vector<steady_time> restarts;
+    for (const recorded_start &start : fleet.workers.starts) {
+        if (start.key.task.job < turnover_fleet::firstShortJob && start.key.run > 1) {
+            restarts.push_back(start.at);
+        }
+    }
+    // The first ones are within the share that is always open to such tasks.
+    ASSERT_EQ(restarts.size(), 3U);
+    EXPECT_GT(restarts.back() - restarts.front(), milliseconds(1500));
+    EXPECT_LT(restarts.back() - restarts.front(), seconds(6));
+}
+
 // Tasks that no worker can hold show no shortage.
 TEST(room_shortage, hopelessTasksKeepLongRunningOnesWaiting)
 {
