--- a/Tests/Unit/connection_budget_test.cxx
+++ b/Tests/Unit/connection_budget_test.cxx
@@ -130,12 +130,10 @@
     metrics_registry metricsRegistry;
     connection_budget budget(clock, metricsRegistry, {1U << 20U, 2});
     for (int count = 0; count < 2; ++count) {
-        const auto served = budget.add([] {
-        });
+        const auto served = budget.add([] {});
         EXPECT_TRUE(budget.update(served, connection_stage::serving, 0));
     }
-    const auto added = budget.add([] {
-    });
+    const auto added = budget.add([] {});
     EXPECT_FALSE(budget.update(added, connection_stage::waiting, 0));
 }
 
