--- a/Tests/Crowd/small_deployment.cxx
+++ b/Tests/Crowd/small_deployment.cxx
@@ -134,7 +134,7 @@
 {
     std::ifstream input(std::string(MANGO_SOURCE_FOLDER) + "/deploy/" + templateFile);
     const std::string text((std::istreambuf_iterator<char>(input)), {});
-    const std::string path = (m_folder / (process + ".ini")).string();
+    std::string path = (m_folder / (process + ".ini")).string();
     std::ofstream(path) << render(text, {{"node_name", process},
                                          {"ip", ip},
                                          {"bootstrap", "yes"},
