customers: Guard runs that use nothing, and count TLS handshakes as connections

Read in the diff before the landing, not seen by callers: the end of a run that asked for no resources could look for an entry of its customer that the end of another one had removed; a handshake was no connection of the budget since the limit of the listener had gone; and a customer's name could break a line of the metrics page. customers.mayRunTasksThatUseNothing.

--- a/Source/Dispatch/customer_runs.cxx
+++ b/Source/Dispatch/customer_runs.cxx
@@ -1,5 +1,7 @@
 #include "Dispatch/customer_runs.h"
 
+#include <algorithm>
+
 #include "Common/event_log.h"
 #include "Common/log.h"
 #include "Dispatch/task_placement.h"
@@ -14,7 +16,14 @@
 
 std::string labelOf(const std::string &metric, const customer_terms &terms)
 {
-    return metric + "{customer=\"" + terms.name + "\"}";
+    std::string name = terms.name;
+    std::replace_if(
+            name.begin(), name.end(),
+            [](unsigned char character) {
+                return character == '"' || character == '\\' || character < ' ';
+            },
+            '_');
+    return metric + "{customer=\"" + name + "\"}";
 }
 
 void reportQuotaWait(dispatch_state &state, const ready_step &ready, const customer_terms &terms,
@@ -91,10 +100,13 @@
         return;
     }
     const auto &[id, resources] = found->second;
+    // There is no entry for runs that use nothing.
     const auto running = ledger.running.find(id);
-    subtractResources(running->second, resources);
-    if (running->second == resource_totals{}) {
-        ledger.running.erase(running);
+    if (running != ledger.running.end()) {
+        subtractResources(running->second, resources);
+        if (running->second == resource_totals{}) {
+            ledger.running.erase(running);
+        }
     }
     ledger.runs.erase(found);
 }
--- a/Source/Http/http_server.cxx
+++ b/Source/Http/http_server.cxx
@@ -375,8 +375,14 @@
     error_code error;
     beast::ssl_stream<beast::tcp_stream> secured(std::move(stream), *context);
     beast::get_lowest_layer(secured).expires_after(state->options.headerTimeout);
-    co_await secured.async_handshake(asio::ssl::stream_base::server,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    {
+        const budgeted_connection budgeted(state->budget, [&secured] {
+            error_code ignored;
+            beast::get_lowest_layer(secured).socket().shutdown(tcp::socket::shutdown_both, ignored);
+        });
+        co_await secured.async_handshake(asio::ssl::stream_base::server,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error) {
         --state->connections;
         ++state->refused;
--- a/Source/Scheduling/customer_shares.h
+++ b/Source/Scheduling/customer_shares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 
 #include "Common/clock_source.h"
--- a/Tests/Unit/customer_test.cxx
+++ b/Tests/Unit/customer_test.cxx
@@ -141,6 +141,19 @@
     EXPECT_EQ(workers.starts.size(), 19U);
 }
 
+// Tasks that ask for no resources.
+TEST_F(customers, mayRunTasksThatUseNothing)
+{
+    job_graph graph = oneStep(5, 0);
+    graph.steps[0].resources = {};
+    EXPECT_EQ(callAs("alder", submit_call{"h.example", "/price/" + formatJobId(1), graph}).outcome,
+              fleet_outcome::accepted);
+    EXPECT_EQ(submitAs("alder", 2, 3).outcome, fleet_outcome::accepted);
+    run(seconds(3));
+    EXPECT_EQ(queryAs("alder", 1).phase, job_phase::completed);
+    EXPECT_EQ(queryAs("alder", 2).phase, job_phase::completed);
+}
+
 TEST(customer_quota, countsEachResource)
 {
     const resource_totals quota{8 * core, 1000, 0};
