review: Show jobs that have not begun and are not counted as waiting

"a machine in touch gives as `waiting` under half of the jobs without times that were accepted over `visible_ms` + 2 s before and haven't begun". Disruption: srv_grey, one worker of 12, the only one with the label that the jobs require, answers starts with 503 for at most 6.4 s. Seen: `waiting` 0 while six such jobs have not begun. A job counts as begun once its start is committed, also when the start is refused.

--- /dev/null
+++ b/review/14/case.py
@@ -0,0 +1,59 @@
+"""Jobs whose starts a worker has refused are no longer counted as waiting."""
+
+import asyncio
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "common-3"))
+import stand_ins as s  # noqa: E402
+
+HOST = "nony24.example"
+QUEUE = "/lohu930/"
+
+JOBS = 6
+
+
+async def body(record, deployment):
+    # One of the workers is of the kind that the jobs require.
+    fleet = s.Fleet(record, deployment, 12, lambda at: ["b"] if at == 4 else ["a"])
+    operator = s.Operator(record, deployment)
+    client = s.Client(record, deployment, HOST)
+    try:
+        await fleet.start()
+        await operator.order("PUT", "/config", s.configuration(
+            7, [{"host": HOST, "path_prefix": QUEUE}]))
+        await asyncio.sleep(4)
+        special = fleet.workers[4]
+        if s.TROUBLE:
+            special.refuses_starts = True
+            record.line("disruption: worker", special.name, "refuses what it is told to start")
+        begin = record.now()
+        spec = {"work_ms": 3000, "cpu": 1000, "mem_mb": 256}
+        accepted = {}
+        for at in range(JOBS):
+            path = QUEUE + s.job_id(at)
+            accepted[s.job_id(at)] = await client.submit(path, s.job(spec, requirements="b"))
+        broken = False
+        while record.now() < begin + 6.4:
+            await asyncio.sleep(0.2)
+            asked = record.now()
+            status, answer = await client.call("GET", QUEUE)
+            begun = {one[1].split(".")[0] for one in fleet.starts}
+            owed = [name for name, at in accepted.items()
+                    if name not in begun and asked > at + s.VISIBLE + 2]
+            if status == 200 and owed and answer["waiting"] * 2 < len(owed):
+                record.say("waiting", answer["waiting"], "while", len(owed),
+                           "jobs accepted more than 5 s ago have not begun")
+                broken = True
+                break
+        special.refuses_starts = False
+        await asyncio.sleep(6)
+        for name in accepted:
+            await client.state(QUEUE + name)
+        return broken
+    finally:
+        fleet.stop()
+
+
+s.main(HERE, body)
