--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -721,11 +721,17 @@
 
 def main(folder, body, limit=115.0, **options):
     async def limited():
-        return await asyncio.wait_for(play(folder, body, **options), limit)
+        task = asyncio.ensure_future(play(folder, body, **options))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, limit)
     try:
         status = asyncio.run(limited())
     except asyncio.TimeoutError:
         print("could not run: took too long", flush=True)
         status = 2
+    except asyncio.CancelledError:
+        print("could not run: ended by a signal", flush=True)
+        status = 2
     sys.stdout.flush()
     os._exit(status)
