--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,3 +1,4 @@
 #!/bin/bash
+# Writes record.txt in this folder.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -40,9 +40,9 @@
 class Record:
     """Writes record.txt: what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.begin = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.begin
@@ -699,8 +699,8 @@
     return {"spec": json.dumps(spec), "steps": [step(spec, **fields)]}
 
 
-async def play(folder, body, controls=3, edges=2):
-    record = Record(folder)
+async def play(record_path, body, controls=3, edges=2):
+    record = Record(record_path)
     record.line("TROUBLE", "1" if TROUBLE else "0")
     deployment = Deployment(record, controls, edges)
     keep = os.environ.get("KEEP_LOGS")
@@ -719,9 +719,9 @@
         await deployment.stop(keep)
 
 
-def main(folder, body, limit=115.0, **options):
+def main(record_path, body, limit=115.0, **options):
     async def limited():
-        task = asyncio.ensure_future(play(folder, body, **options))
+        task = asyncio.ensure_future(play(record_path, body, **options))
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(task, limit)
