dispatch: Find jobs by their id when routes have changed

Callers of a job whose route was removed below an outer one got 410 for a cancel, which acknowledges it, and the later steps of the job were started all the same. Queries got 410 too; without an outer route both got 404.

Cause: the leader read the id of a job as what follows the prefix of the route that the path has now. After a change of the routes that is another route, or none. The cancel was never proposed.

Change: Dispatch/call_subject reads the id from the end of the path and looks up the job whatever the routes are; routes decide about new submissions and name queues only. A cancel of an unknown job is kept even without a route, since the route may be back before a submission that was held up. Access to a known job follows from its customer: the route of the path let callers without a key reach jobs of customers through a public route. job-cancelled has the route, mango_calls_off_route_total counts.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -2,6 +2,7 @@
 
 #include "Common/event_log.h"
 #include "Common/log.h"
+#include "Dispatch/call_subject.h"
 #include "Dispatch/crash_tracking.h"
 
 namespace mango {
@@ -30,28 +31,6 @@
     return response;
 }
 
-// The queue and job that a path names; without a job when the path is that of the queue or the
-// job's name cannot be read.
-struct resolved_path
-{
-    const queue_route *route = nullptr;
-    std::optional<std::uint64_t> job;
-    bool isQueue = false;
-};
-
-resolved_path resolvePath(const dispatch_state &state, const std::string &host,
-                          const std::string &path)
-{
-    resolved_path resolved;
-    resolved.route = findRoute(state.context.machine.state().configuration, host, path);
-    if (resolved.route != nullptr) {
-        const std::string rest = path.substr(resolved.route->pathPrefix.size());
-        resolved.isQueue = rest.empty();
-        resolved.job = parseJobId(rest);
-    }
-    return resolved;
-}
-
 bool isConfigured(const dispatch_state &state)
 {
     return state.context.machine.state().configuration.version > 0;
@@ -69,23 +48,34 @@
             customer};
 }
 
-// Returns the customer of a caller; nothing when the queue needs a key that the caller lacks.
-std::optional<customer_id> customerOf(const dispatch_state &state, const queue_route &route,
-                                      const fleet_call &origin)
+// Returns the customer of a caller; nothing when the call needs a key that the caller lacks.
+std::optional<customer_id> admit(const dispatch_state &state, const call_subject &subject,
+                                 const fleet_call &origin)
 {
     const auto customer =
-            authenticate(state.context.machine.state().configuration, route, origin.keyDigest);
+            customerOf(state.context.machine.state().configuration, subject, origin.keyDigest);
     if (!customer) {
         ++state.context.metricsRegistry.at("mango_calls_unauthorized_total");
     }
     return customer;
 }
 
-// True when the job is one of another customer, who alone learns of it.
-bool isHiddenFrom(const dispatch_state &state, std::uint64_t job, customer_id customer)
+// The response to a caller who may not access a job: another customer is not told that it exists.
+fleet_response refuseAccess(const dispatch_state &state, customer_id customer)
 {
-    const customer_id owner = ownerOf(state.context.machine.state(), job);
-    return owner != 0 && customer != 0 && owner != customer;
+    if (customer != 0) {
+        return responseOf(fleet_outcome::unknownJob);
+    }
+    ++state.context.metricsRegistry.at("mango_calls_unauthorized_total");
+    return responseOf(fleet_outcome::unauthorized);
+}
+
+// Counts a call for a known job that no route of the current configuration leads to.
+void countJobOffRoute(const dispatch_state &state, const call_subject &subject)
+{
+    if (subject.phase && !subject.isJobOfRoute) {
+        ++state.context.metricsRegistry.at("mango_calls_off_route_total");
+    }
 }
 
 // Calls of callers take the call that they came with, for its mark and its key.
@@ -110,48 +100,50 @@
 asio::awaitable<fleet_response> serve(dispatch_handle state, submit_call call,
                                       const fleet_call &origin)
 {
-    const resolved_path resolved = resolvePath(*state, call.host, call.path);
-    if (resolved.route == nullptr) {
+    const fleet_state &current = state->context.machine.state();
+    const call_subject subject = subjectOf(current, call.host, call.path);
+    if (subject.route == nullptr && !subject.phase) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
-    const auto customer = customerOf(*state, *resolved.route, origin);
+    const auto customer = admit(*state, subject, origin);
     if (!customer) {
         co_return responseOf(fleet_outcome::unauthorized);
     }
-    const std::uint64_t receivedAfter = origin.receivedAfter;
-    if (!resolved.job) {
-        fleet_response response = responseOf(fleet_outcome::invalid);
-        response.text = "the path does not end with a job's name";
-        co_return response;
-    }
-    const auto known = phaseOf(state->context.machine.state(), *resolved.job);
-    if (known) {
+    countJobOffRoute(*state, subject);
+    if (subject.phase) {
         fleet_response response = responseOf(fleet_outcome::accepted);
         // The job stays one job whatever key a duplicate has.
-        if (!isHiddenFrom(*state, *resolved.job, *customer)) {
-            response.phase = known;
+        if (mayAccessJob(current.configuration, subject, *customer)) {
+            response.phase = subject.phase;
         }
         co_return response;
     }
+    if (!subject.isJobOfRoute) {
+        fleet_response response = responseOf(fleet_outcome::invalid);
+        response.text = "the path does not end with a job's name";
+        co_return response;
+    }
+    const std::uint64_t job = *subject.job;
+    const std::uint64_t receivedAfter = origin.receivedAfter;
     if (const auto failure = checkGraph(call.graph)) {
         fleet_response response = responseOf(fleet_outcome::invalid);
         response.text = describe(*failure);
         co_return response;
     }
-    if (isCancelledEarly(state->context.machine.state(), *resolved.job, receivedAfter)) {
-        co_return refuseEarlyCancelled(*state, *resolved.job);
+    if (isCancelledEarly(current, job, receivedAfter)) {
+        co_return refuseEarlyCancelled(*state, job);
     }
-    const std::string queue = resolved.route->name;
+    const std::string queue = subject.route->name;
     const std::size_t steps = call.graph.steps.size();
-    fleet_command change = submit_job{*resolved.job, termsOf(*resolved.route, *customer),
+    fleet_command change = submit_job{job, termsOf(*subject.route, *customer),
                                       std::move(call.graph), receivedAfter};
     const steady_time receivedAt = state->context.clock.now();
     const auto committed = co_await commitCommand(state, std::move(change));
     if (committed == fleet_command_result::overtaken) {
-        co_return refuseEarlyCancelled(*state, *resolved.job);
+        co_return refuseEarlyCancelled(*state, job);
     }
     logEvent(log_part::scheduler, "job-submitted",
-             {{"job", formatJobId(*resolved.job)},
+             {{"job", formatJobId(job)},
               {"queue", queue},
               {"steps", steps},
               {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -164,56 +156,67 @@
 asio::awaitable<fleet_response> serve(dispatch_handle state, query_call call,
                                       const fleet_call &origin)
 {
-    const fleet_state &committed = state->context.machine.state();
-    const resolved_path resolved = resolvePath(*state, call.host, call.path);
-    if (resolved.route == nullptr) {
+    const fleet_state &current = state->context.machine.state();
+    const call_subject subject = subjectOf(current, call.host, call.path);
+    if (subject.route == nullptr && !subject.job) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
-    const auto customer = customerOf(*state, *resolved.route, origin);
+    const auto customer = admit(*state, subject, origin);
     if (!customer) {
         co_return responseOf(fleet_outcome::unauthorized);
     }
+    countJobOffRoute(*state, subject);
     fleet_response response = responseOf(fleet_outcome::accepted);
-    if (resolved.isQueue) {
-        response.waiting = countQueuedJobs(committed, *resolved.route);
-        co_return response;
-    }
-    response.phase = resolved.job ? phaseOf(committed, *resolved.job) : std::nullopt;
-    if (!response.phase || isHiddenFrom(*state, *resolved.job, *customer)) {
-        response.phase.reset();
-        response.outcome = fleet_outcome::unknownJob;
-        co_return response;
-    }
-    if (const job_failure_report *failure = failureOf(committed, *resolved.job)) {
-        response.text = describe(*failure);
+    const bool mayAccess = mayAccessJob(current.configuration, subject, *customer);
+    if (subject.isQueue) {
+        response.waiting = countQueuedJobs(current, *subject.route);
+    } else if (!subject.phase) {
+        co_return responseOf(fleet_outcome::unknownJob);
+    } else if (!mayAccess) {
+        co_return refuseAccess(*state, *customer);
+    }
+    // The path of a queue may be that of a job which is older than the queue.
+    if (subject.phase && mayAccess) {
+        response.phase = subject.phase;
+        if (const job_failure_report *failure = failureOf(current, *subject.job)) {
+            response.text = describe(*failure);
+        }
     }
     co_return response;
 }
 
+// An answered cancel holds for the id, whether a route leads to the path or not: the job may have
+// been accepted under an earlier configuration, or its submission may still be on its way.
 asio::awaitable<fleet_response> serve(dispatch_handle state, cancel_call call,
                                       const fleet_call &origin)
 {
-    const resolved_path resolved = resolvePath(*state, call.host, call.path);
-    if (resolved.route == nullptr) {
+    const fleet_state &current = state->context.machine.state();
+    const call_subject subject = subjectOf(current, call.host, call.path);
+    if (subject.route == nullptr && !subject.job) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
-    const auto customer = customerOf(*state, *resolved.route, origin);
+    const auto customer = admit(*state, subject, origin);
     if (!customer) {
         co_return responseOf(fleet_outcome::unauthorized);
     }
-    if (!resolved.job || isHiddenFrom(*state, *resolved.job, *customer)) {
+    countJobOffRoute(*state, subject);
+    if (!mayAccessJob(current.configuration, subject, *customer)) {
+        co_return refuseAccess(*state, *customer);
+    }
+    if (!subject.job) {
         co_return responseOf(fleet_outcome::unknownJob);
     }
-    fleet_command change = cancel_job{*resolved.job};
+    const std::uint64_t job = *subject.job;
+    const std::string route = subject.isJobOfRoute ? subject.route->name : "none";
+    fleet_command change = cancel_job{job};
     const auto committed = co_await commitCommand(state, std::move(change));
     if (!committed) {
         co_return responseOf(fleet_outcome::uncertain);
     }
+    const bool isKnown = *committed != fleet_command_result::unknownJob;
     logEvent(log_part::scheduler, "job-cancelled",
-             {{"job", formatJobId(*resolved.job)},
-              {"known", *committed == fleet_command_result::unknownJob ? "no" : "yes"}});
-    co_return responseOf(*committed == fleet_command_result::unknownJob ? fleet_outcome::unknownJob
-                                                                        : fleet_outcome::accepted);
+             {{"job", formatJobId(job)}, {"known", isKnown ? "yes" : "no"}, {"route", route}});
+    co_return responseOf(isKnown ? fleet_outcome::accepted : fleet_outcome::unknownJob);
 }
 
 asio::awaitable<fleet_response> serve(dispatch_handle state, configure_call call)
--- a/Source/Fleet/configuration.cxx
+++ b/Source/Fleet/configuration.cxx
@@ -56,8 +56,8 @@
     return std::nullopt;
 }
 
-std::optional<customer_id> authenticate(const fleet_configuration &configuration,
-                                        const queue_route &route, const std::string &keyDigest)
+std::optional<customer_id> findCustomer(const fleet_configuration &configuration,
+                                        const std::string &keyDigest)
 {
     for (const customer &one : configuration.customers) {
         for (const std::string &digest : one.keyDigests) {
@@ -66,9 +66,6 @@
             }
         }
     }
-    if (configuration.customers.empty() || route.isPublic) {
-        return 0;
-    }
     return std::nullopt;
 }
 
--- a/Source/Fleet/configuration.h
+++ b/Source/Fleet/configuration.h
@@ -109,10 +109,9 @@
 // Validates a configuration; nullopt if it is valid.
 std::optional<configuration_failure> checkConfiguration(const fleet_configuration &configuration);
 
-// Returns the customer whose key has the digest, 0 on a public route or without customers; nothing
-// when the route needs a key and no customer has this one.
-std::optional<customer_id> authenticate(const fleet_configuration &configuration,
-                                        const queue_route &route, const std::string &keyDigest);
+// Returns the customer whose key has the digest; nothing when no customer has it.
+std::optional<customer_id> findCustomer(const fleet_configuration &configuration,
+                                        const std::string &keyDigest);
 
 // Returns the route of the host with the longest matching path prefix; nullptr when none matches.
 const queue_route *findRoute(const fleet_configuration &configuration, const std::string &host,
--- a/Source/Jobs/job_graph.cxx
+++ b/Source/Jobs/job_graph.cxx
@@ -33,6 +33,14 @@
     return job;
 }
 
+std::optional<std::uint64_t> trailingJobId(const std::string &path)
+{
+    if (path.size() < jobIdDigits) {
+        return std::nullopt;
+    }
+    return parseJobId(path.substr(path.size() - jobIdDigits));
+}
+
 std::string toText(const task_key &key)
 {
     return formatJobId(key.job) + "." + std::to_string(key.occurrence) + "."
--- a/Source/Jobs/job_graph.h
+++ b/Source/Jobs/job_graph.h
@@ -138,6 +138,9 @@
 // Parses a job id; nullopt unless the text consists of exactly 16 hexadecimal digits.
 std::optional<std::uint64_t> parseJobId(const std::string &text);
 
+// Returns the job id at the end of a path; nullopt unless the path ends with 16 hexadecimal digits.
+std::optional<std::uint64_t> trailingJobId(const std::string &path);
+
 // Formats a task as JOB.OCCURRENCE.STEP.INDEX.
 std::string toText(const task_key &key);
 
--- a/Tests/Unit/customer_test.cxx
+++ b/Tests/Unit/customer_test.cxx
@@ -42,6 +42,16 @@
         call(configure_call{std::move(made)});
     }
 
+    // Adopts a configuration with one route, for which callers need no key if it is public.
+    void configure(const std::vector<customer> &all, const std::pair<std::string, bool> &onlyRoute)
+    {
+        fleet_configuration made = configuration(++m_version);
+        made.customers = all;
+        made.routes.front().pathPrefix = onlyRoute.first;
+        made.routes.front().isPublic = onlyRoute.second;
+        call(configure_call{std::move(made)});
+    }
+
     fleet_response callAs(const std::string &name, fleet_request request)
     {
         fleet_call made{std::move(request), leading().receiptMark(),
@@ -63,6 +73,10 @@
     {
         return callAs(name, query_call{"h.example", "/price/" + formatJobId(job)});
     }
+    fleet_response cancelAs(const std::string &name, const std::string &path)
+    {
+        return callAs(name, cancel_call{"h.example", path});
+    }
 
 private:
     static boost::asio::awaitable<void>
@@ -120,6 +134,39 @@
     EXPECT_EQ(queryAs("birch", 1).outcome, fleet_outcome::unknownJob);
 }
 
+// A route is removed, and its path leads to a public one: its jobs are still their customer's, and
+// those that were accepted without a key need none.
+TEST_F(customers, keepTheirJobsWhenTheRouteIsRemoved)
+{
+    const std::vector<customer> all{makeCustomer("alder", 10), makeCustomer("birch", 10)};
+    workers.runDuration = seconds(60);
+    EXPECT_EQ(submitAs("alder", 1).outcome, fleet_outcome::accepted);
+    EXPECT_EQ(submitAs("", 2, 1, "/open/").outcome, fleet_outcome::accepted);
+    for (const bool isPublic : {true, false}) {
+        configure(all, {"/", isPublic});
+        EXPECT_EQ(queryAs("", 1).outcome, fleet_outcome::unauthorized);
+        EXPECT_EQ(cancelAs("", "/price/" + formatJobId(1)).outcome, fleet_outcome::unauthorized);
+        EXPECT_EQ(queryAs("birch", 1).outcome, fleet_outcome::unknownJob);
+        EXPECT_EQ(cancelAs("birch", "/price/" + formatJobId(1)).outcome, fleet_outcome::unknownJob);
+        EXPECT_EQ(queryAs("alder", 1).phase, job_phase::running);
+    }
+    EXPECT_EQ(cancelAs("", "/open/" + formatJobId(2)).outcome, fleet_outcome::accepted);
+    EXPECT_EQ(cancelAs("alder", "/price/" + formatJobId(1)).outcome, fleet_outcome::accepted);
+    EXPECT_EQ(queryAs("alder", 1).phase, job_phase::cancelled);
+}
+
+// A public route was a way to the jobs of customers: a caller without a key read and cancelled
+// them.
+TEST_F(customers, keepTheirJobsFromCallersOfPublicRoutes)
+{
+    workers.runDuration = seconds(60);
+    EXPECT_EQ(submitAs("alder", 1).outcome, fleet_outcome::accepted);
+    const std::string path = "/open/" + formatJobId(1);
+    EXPECT_EQ(callAs("", query_call{"h.example", path}).outcome, fleet_outcome::unauthorized);
+    EXPECT_EQ(cancelAs("", path).outcome, fleet_outcome::unauthorized);
+    EXPECT_EQ(queryAs("alder", 1).phase, job_phase::running);
+}
+
 // A customer with many tasks waiting, whose quota is smaller than the room; also after a change of
 // the leader, which knows the runs from the log.
 TEST_F(customers, keepTheirQuota)
--- a/Tests/Unit/platform_codec_test.cxx
+++ b/Tests/Unit/platform_codec_test.cxx
@@ -164,6 +164,12 @@
               R"({"state":"failed","reason":"task 1 failed"})");
 }
 
+TEST(platform_codec, encodesTheLengthOfAQueueAndAJobOfItsPath)
+{
+    EXPECT_EQ(encodeQueueState(12, std::nullopt, ""), R"({"waiting":12})");
+    EXPECT_EQ(encodeQueueState(0, job_phase::running, ""), R"({"state":"running","waiting":0})");
+}
+
 TEST(platform_codec, namesTheInvalidFieldOfAJob)
 {
     const auto invalidFieldOf = [](const std::string &body) {
