entry: Record keys by method and path, not by the matching row

A request with an Idempotency-Key that is sent again after a change of the routing table ran a second time when another row matched its path by then, and made a second job when the team of a batch row had changed. Without a row it was refused as not-run although it had run.

The record of a request was looked up by what the current table has for its path: the row's name, or its team.

Change: a key is recorded with the method and path of its request. When no row matches, the entry asks the leader for the record (key_request) and gives the first answer. An accepted job that is sent again is not checked against the pools of the moment any more.

One key on two paths of a row is two requests now, and keys from before the update are not found by their new names.

--- a/Source/Control/control_server.cxx
+++ b/Source/Control/control_server.cxx
@@ -23,7 +23,8 @@
 {
     return !std::holds_alternative<entry_report>(message)
            && !std::holds_alternative<propose_request>(message)
-           && !std::holds_alternative<job_request>(message);
+           && !std::holds_alternative<job_request>(message)
+           && !std::holds_alternative<key_request>(message);
 }
 
 } // namespace
@@ -125,6 +126,20 @@
     m_leader.reset();
 }
 
+namespace {
+
+key_response describeKey(const cluster_state &state, const std::string &key)
+{
+    key_response response;
+    response.job = findJobByKey(state, key);
+    if (const auto claim = state.claims.find(key); claim != state.claims.end()) {
+        response.claim = claim->second;
+    }
+    return response;
+}
+
+} // namespace
+
 asio::awaitable<response_message> control_server::handleCall(call message)
 {
     if (isForReplica(message.message)) {
@@ -161,8 +176,12 @@
         const std::string text = describeJob(m_machine.state(), request->job);
         co_return job_response{!text.empty(), text};
     }
+    if (const auto *request = std::get_if<key_request>(&message)) {
+        co_return describeKey(m_machine.state(), request->key);
+    }
     auto &proposal = std::get<propose_request>(message);
-    if (auto *job = std::get_if<submit_job_command>(&proposal.change)) {
+    if (auto *job = std::get_if<submit_job_command>(&proposal.change);
+        job != nullptr && !findJobByKey(m_machine.state(), job->key)) {
         const std::string whyNeverRuns = whyJobNeverRuns(*leader, job->spec);
         if (!whyNeverRuns.empty()) {
             co_return command_result{
--- a/Source/Entry/caller_api.cxx
+++ b/Source/Entry/caller_api.cxx
@@ -232,7 +232,7 @@
     }
     const route *found = matchRoute(entry.routeTable, request.method, path);
     if (found == nullptr) {
-        co_return refusalResponse(entry, refusal_reason::noRoute, "");
+        co_return co_await serveWithoutRoute(entry, control, std::move(request));
     }
     const route row = *found;
     entry.retryBudget = std::min(retryBudgetLimit, entry.retryBudget + entry.settings.retryPercent);
--- a/Source/Entry/control_client.cxx
+++ b/Source/Entry/control_client.cxx
@@ -145,4 +145,20 @@
     co_return control_failure::notCommitted;
 }
 
+asio::awaitable<result<key_response, control_failure>>
+control_client::queryKey(std::string key, steady_time deadline)
+{
+    const call message{0, key_request{std::move(key)}};
+    while (m_entry.clock.now() < deadline) {
+        const auto answered = co_await invoke(message, reportTimeout);
+        const auto *found =
+                failed(answered) ? nullptr : std::get_if<key_response>(&valueOf(answered));
+        if (found != nullptr) {
+            co_return *found;
+        }
+        co_await m_entry.clock.sleepFor(retryInterval);
+    }
+    co_return control_failure::notCommitted;
+}
+
 } // namespace mango
--- a/Source/Entry/control_client.h
+++ b/Source/Entry/control_client.h
@@ -33,6 +33,9 @@
     // leader has responded before the deadline.
     boost::asio::awaitable<result<std::optional<std::string>, control_failure>>
     queryJob(std::uint64_t job, steady_time deadline);
+    // Returns what is recorded of the requests with a key; fails as queryJob() does.
+    boost::asio::awaitable<result<key_response, control_failure>> queryKey(std::string key,
+                                                                           steady_time deadline);
 
 private:
     boost::asio::awaitable<result<response_message, network_failure>> invoke(call message,
--- a/Source/Entry/job_api.cxx
+++ b/Source/Entry/job_api.cxx
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include "Entry/keyed_request.h"
 #include "Entry/responses.h"
 
 namespace mango {
@@ -63,6 +64,8 @@
     return spec;
 }
 
+} // namespace
+
 http_response jobResponse(unsigned status, std::uint64_t job)
 {
     http_response response{status,
@@ -72,8 +75,6 @@
     return response;
 }
 
-} // namespace
-
 asio::awaitable<http_response> submitJob(entry_state &entry, control_client &control,
                                          const route row, dispatched_request request)
 {
@@ -85,8 +86,10 @@
             entry.clock.wallTime().time_since_epoch());
     // The command may be proposed more than once. Without an idempotency key of the caller, the id
     // of the request prevents a second job.
-    std::string key = headerValue(request.request.headers, "Idempotency-Key");
-    key = key.empty() ? "request " + request.id : "key " + key;
+    std::string key = recordKeyOf(request.request);
+    if (key.empty()) {
+        key = "request " + request.id;
+    }
     const submit_job_command change{*spec, key, static_cast<std::uint64_t>(wallTime.count())};
     const auto proposed = co_await control.propose(change, request.deadline);
     if (failed(proposed)) {
--- a/Source/Entry/job_api.h
+++ b/Source/Entry/job_api.h
@@ -11,6 +11,9 @@
 boost::asio::awaitable<http_response> submitJob(entry_state &entry, control_client &control,
                                                 const route row, dispatched_request request);
 
+// The response for a caller whose job has that id, with the path of the job.
+http_response jobResponse(unsigned status, std::uint64_t job);
+
 // Serves GET and DELETE of a job's path: returns the job's state or cancels the job.
 boost::asio::awaitable<http_response> serveJobRequest(entry_state &entry, control_client &control,
                                                       http_request request);
--- a/Source/Entry/keyed_request.cxx
+++ b/Source/Entry/keyed_request.cxx
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "Entry/admission.h"
+#include "Entry/job_api.h"
 #include "Entry/responses.h"
 #include "Wire/frame_codec.h"
 
@@ -18,6 +19,7 @@
 constexpr std::uint32_t maximumAttempts = 4;
 constexpr auto releaseTimeout = std::chrono::seconds(20);
 constexpr auto storeTimeout = std::chrono::seconds(3);
+constexpr auto queryTimeout = std::chrono::seconds(2);
 constexpr std::size_t maximumStoredBody = 64U << 10U;
 
 std::string fingerprintOf(const http_request &request)
@@ -35,6 +37,11 @@
             stored.body};
 }
 
+http_response keyReusedResponse()
+{
+    return entryResponse(422, "not-run", "the key was used for another request");
+}
+
 // Releases the claim of an attempt that never ran; keeps proposing it until committed or timed out.
 asio::awaitable<void> releaseClaim(entry_state &entry, control_client &control, std::string key,
                                    std::string attempt)
@@ -110,11 +117,51 @@
 
 } // namespace
 
+std::string recordKeyOf(const http_request &request)
+{
+    const std::string key = headerValue(request.headers, "Idempotency-Key");
+    return key.empty() ? "" : request.method + " " + pathOf(request.target) + ":" + key;
+}
+
+asio::awaitable<http_response> serveWithoutRoute(entry_state &entry, control_client &control,
+                                                 http_request request)
+{
+    const std::string key = recordKeyOf(request);
+    if (key.empty()) {
+        co_return refusalResponse(entry, refusal_reason::noRoute, "");
+    }
+    const steady_time deadline = entry.clock.now() + queryTimeout;
+    const auto queried = co_await control.queryKey(key, deadline);
+    if (failed(queried)) {
+        co_return unknownOutcomeResponse(
+                entry, "no route matches, and a request with this key may have run before");
+    }
+    const key_response recorded = valueOf(queried);
+    if (recorded.job) {
+        co_return jobResponse(202, *recorded.job);
+    }
+    if (!recorded.claim) {
+        co_return refusalResponse(entry, refusal_reason::noRoute, "");
+    }
+    if (recorded.claim->fingerprint != fingerprintOf(request)) {
+        co_return keyReusedResponse();
+    }
+    if (recorded.claim->completed) {
+        co_return replayedResponse(recorded.claim->response);
+    }
+    const claim_conflict held{recorded.claim->attempt, recorded.claim->worker,
+                              recorded.claim->workerIncarnation};
+    auto response = co_await resolveConflict(entry, control, key, held, deadline);
+    if (response) {
+        co_return std::move(*response);
+    }
+    co_return refusalResponse(entry, refusal_reason::noRoute, "");
+}
+
 asio::awaitable<http_response> serveKeyed(entry_state &entry, control_client &control,
                                           const route row, dispatched_request request)
 {
-    const std::string key =
-            row.name + ":" + headerValue(request.request.headers, "Idempotency-Key");
+    const std::string key = recordKeyOf(request.request);
     const std::string fingerprint = fingerprintOf(request.request);
     std::set<std::string> tried;
     bool claimed = false;
@@ -149,7 +196,7 @@
             co_return replayedResponse(previous->response);
         }
         if (std::holds_alternative<change_refused>(valueOf(proposed))) {
-            co_return entryResponse(422, "not-run", "the key was used for another request");
+            co_return keyReusedResponse();
         }
         if (const auto *other = std::get_if<claim_conflict>(&valueOf(proposed))) {
             auto response = co_await resolveConflict(entry, control, key, *other, request.deadline);
--- a/Source/State/cluster_state.cxx
+++ b/Source/State/cluster_state.cxx
@@ -15,11 +15,6 @@
 // A run whose worker restarts later than this was hardly the cause.
 constexpr std::uint64_t startSurvivedAfterMs = 10'000;
 
-std::string jobKey(const std::string &team, const std::string &key)
-{
-    return team + "\n" + key;
-}
-
 const idempotency_record *findRecord(const cluster_state &state, const std::string &changeId)
 {
     const auto found =
@@ -112,9 +107,8 @@
 
 command_result applyChange(cluster_state &state, const submit_job_command &change)
 {
-    const std::string key = jobKey(change.spec.team, change.key);
     if (!change.key.empty()) {
-        const auto existing = state.jobsByKey.find(key);
+        const auto existing = state.jobsByKey.find(change.key);
         if (existing != state.jobsByKey.end()) {
             return change_accepted{existing->second};
         }
@@ -133,7 +127,7 @@
         state.unfinishedTasks.insert({job, number});
     }
     if (!change.key.empty()) {
-        state.jobsByKey[key] = job;
+        state.jobsByKey[change.key] = job;
     }
     return change_accepted{job};
 }
@@ -351,7 +345,7 @@
     for (std::uint32_t number = 0; number < job->second.spec.taskCount; ++number) {
         state.tasks.erase({job->first, number});
     }
-    state.jobsByKey.erase(jobKey(job->second.spec.team, job->second.key));
+    state.jobsByKey.erase(job->second.key);
     state.jobs.erase(job);
 }
 
@@ -412,7 +406,7 @@
     state.jobsByKey.clear();
     for (const auto &[id, job] : state.jobs) {
         if (!job.key.empty()) {
-            state.jobsByKey[jobKey(job.spec.team, job.key)] = id;
+            state.jobsByKey[job.key] = id;
         }
     }
     state.claimsByAge.clear();
--- a/Source/State/queries.cxx
+++ b/Source/State/queries.cxx
@@ -20,6 +20,12 @@
     return found == state.jobs.end() ? nullptr : &found->second;
 }
 
+std::optional<std::uint64_t> findJobByKey(const cluster_state &state, const std::string &key)
+{
+    const auto found = state.jobsByKey.find(key);
+    return found == state.jobsByKey.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::uint32_t unfinishedTaskCount(const job_record &job)
 {
     return job.spec.taskCount - job.finishedTasks - job.failedTasks - job.cancelledTasks;
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -386,6 +386,31 @@
     }
 };
 
+// Asks what is recorded of the requests with a key; only the leader responds with it.
+struct key_request
+{
+    std::string key;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key);
+    }
+};
+
+// The response to a key_request: the claim on the key and the job that was submitted with it.
+struct key_response
+{
+    std::optional<claim_record> claim;
+    std::optional<std::uint64_t> job;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(claim, job);
+    }
+};
+
 // The callee is not the leader or has no leader lease; `leader` is empty when unknown.
 struct not_leader
 {
@@ -433,7 +458,7 @@
 using call_message =
         std::variant<vote_request, append_request, snapshot_request, transfer_leadership_request,
                      discovery_request, bootstrap_request, entry_report, propose_request,
-                     job_request, fleet_call, worker_call>;
+                     job_request, fleet_call, worker_call, key_request>;
 
 // A call with the number of times it has been forwarded; a follower forwards a call to the leader
 // only when it has not been forwarded before.
@@ -449,9 +474,9 @@
     }
 };
 
-using response_message =
-        std::variant<call_refused, not_leader, uncertain_outcome, acknowledged, vote_response,
-                     append_response, snapshot_response, discovery_response, entry_view,
-                     command_result, job_response, fleet_response, worker_call_answer>;
+using response_message = std::variant<call_refused, not_leader, uncertain_outcome, acknowledged,
+                                      vote_response, append_response, snapshot_response,
+                                      discovery_response, entry_view, command_result, job_response,
+                                      fleet_response, worker_call_answer, key_response>;
 
 } // namespace mango
