dispatch: Answer 404 for paths of neither a queue nor a job

A read of the length of a queue that had been removed below an outer route got 410, and so did a cancel without a job's id, which acknowledges it.

Cause: the path led to the outer route, and whatever was no id after its prefix was taken for that of an unknown job.

Change: a path that ends with no id and is not that of a queue gets 404, whatever route it leads to.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -158,7 +158,7 @@
 {
     const fleet_state &current = state->context.machine.state();
     const call_subject subject = subjectOf(current, call.host, call.path);
-    if (subject.route == nullptr && !subject.job) {
+    if (!subject.isQueue && !subject.job) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
     const auto customer = admit(*state, subject, origin);
@@ -192,7 +192,7 @@
 {
     const fleet_state &current = state->context.machine.state();
     const call_subject subject = subjectOf(current, call.host, call.path);
-    if (subject.route == nullptr && !subject.job) {
+    if (!subject.isQueue && !subject.job) {
         co_return responseOf(fleet_outcome::unknownQueue);
     }
     const auto customer = admit(*state, subject, origin);
--- a/Tests/Unit/removed_route_test.cxx
+++ b/Tests/Unit/removed_route_test.cxx
@@ -170,16 +170,17 @@
     EXPECT_TRUE(workers.starts.empty());
 }
 
-// Queues that do not exist are still reported as such.
+// The outer route took the path of the removed queue for that of an unknown job: its length got the
+// answer for jobs, and a cancel without a job's id was acknowledged.
 TEST_F(removed_route, isNoQueueAnyMore)
 {
     EXPECT_EQ(queryAt("/pule/").waiting, 0U);
-    useRoutes({"/other/"});
-    EXPECT_EQ(queryAt("/pule/").outcome, fleet_outcome::unknownQueue);
-    EXPECT_EQ(cancelAt("/pule/").outcome, fleet_outcome::unknownQueue);
-    EXPECT_EQ(queryAt("/pule/" + name).outcome, fleet_outcome::unknownJob);
-    useRoutes({"/"});
-    EXPECT_FALSE(queryAt("/pule/").waiting);
+    for (const std::string &left : {std::string("/"), std::string("/other/")}) {
+        useRoutes({left});
+        EXPECT_EQ(queryAt("/pule/").outcome, fleet_outcome::unknownQueue);
+        EXPECT_EQ(cancelAt("/pule/").outcome, fleet_outcome::unknownQueue);
+        EXPECT_EQ(queryAt("/pule/" + name).outcome, fleet_outcome::unknownJob);
+    }
 }
 
 // Routes come and go, leaders change and processes are restarted between the calls for many jobs:
