fleet: Bound what heartbeats make a replica keep

Cause: a heartbeat that can be read registers its sender, whatever its service, and limits stood at single requests only.

Workers of services that are not in use are no longer recorded, heartbeats are limited in size, names and labels, and registered workers in what they hold together, an eighth of the machine's memory. The limits hold before an entry of the log is written, so a process can load what was acknowledged.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -271,6 +271,37 @@
     co_return responseOf(committed ? fleet_outcome::accepted : fleet_outcome::uncertain);
 }
 
+// Returns the response to a heartbeat that is not recorded; nothing when it is to be recorded. A
+// worker of a service that is not in use has been heard, as far as its sender is concerned, and is
+// registered by the first heartbeat after the service is configured.
+std::optional<fleet_response> refuseRegistration(const dispatch_state &state,
+                                                 const worker_record &record)
+{
+    const dispatch_context &context = state.context;
+    const std::uint64_t held = context.machine.workerBytes();
+    const auto verdict =
+            judgeRegistration(context.machine.state(), record, held, context.registrations);
+    if (verdict == registration_verdict::admitted) {
+        return std::nullopt;
+    }
+    const bool isUnknown = verdict == registration_verdict::unknownService;
+    const std::string reason = isUnknown ? "unknown_service" : "no_room";
+    ++context.metricsRegistry.at("mango_announcements_ignored_total{reason=\"" + reason + "\"}");
+    logEvent(log_part::control, "announcement-ignored",
+             {{"worker", record.incarnation.id},
+              {"reason", reason},
+              {"service", record.service},
+              {"registered", context.machine.state().workers.size()},
+              {"held_bytes", held},
+              {"limit_bytes", context.registrations.bytes}});
+    if (isUnknown) {
+        return responseOf(fleet_outcome::accepted);
+    }
+    fleet_response response = unavailable();
+    response.text = "no room for more workers";
+    return response;
+}
+
 asio::awaitable<fleet_response> serve(dispatch_handle state, heartbeat_call call)
 {
     const worker_record &record = call.heartbeat.record;
@@ -306,6 +337,9 @@
         }
         co_return responseOf(fleet_outcome::accepted);
     }
+    if (const auto refusal = refuseRegistration(*state, record)) {
+        co_return *refusal;
+    }
     logEvent(log_part::scheduler, "worker-announced",
              {{"worker", record.incarnation.id},
               {"born", record.incarnation.startTime.count()},
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -10,6 +10,7 @@
 #include "Dispatch/round_work.h"
 #include "Dispatch/worker_lease.h"
 #include "Fleet/fleet_state_machine.h"
+#include "Fleet/worker_registration.h"
 #include "Jobs/job_account.h"
 #include "Scheduling/crash_suspects.h"
 #include "Scheduling/image_interference.h"
@@ -56,6 +57,7 @@
     worker_client &workers;
     dispatch_timing timing;
     work_meter &work;
+    registration_limits registrations;
 };
 
 // The leader's view of a run, which is more detailed than the replicated state.
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -74,8 +74,9 @@
     , m_relayedWorkers(executor, clock, links, events.stamps(), metricsRegistry, workers,
                        settings.timing.responseTimeout, &m_work)
     , m_receipts(leadershipCheckInterval)
-    , m_context{executor,         clock,           metricsRegistry, m_replica, m_machine,
-                m_relayedWorkers, settings.timing, m_work}
+    , m_context{executor,        clock,     metricsRegistry,
+                m_replica,       m_machine, m_relayedWorkers,
+                settings.timing, m_work,    settings.registrations}
 {}
 
 fleet_server::~fleet_server()
@@ -211,6 +212,8 @@
         return;
     }
     m_work.exportTotals();
+    m_context.metricsRegistry.at("mango_registered_workers") = m_machine.state().workers.size();
+    m_context.metricsRegistry.at("mango_memory_bytes{part=\"workers\"}") = m_machine.workerBytes();
     const work_totals totals = m_work.totals();
     const steady_span processor = m_context.clock.processorTime();
     const link_totals links = linkTotalsOf(m_context.metricsRegistry);
@@ -360,6 +363,14 @@
     co_return responseOf(fleet_outcome::accepted);
 }
 
+asio::awaitable<fleet_response> refuseExcess(metrics_registry &metricsRegistry, std::string excess)
+{
+    ++metricsRegistry.at("mango_announcements_ignored_total{reason=\"too_large\"}");
+    fleet_response response = responseOf(fleet_outcome::invalid);
+    response.text = std::move(excess);
+    co_return response;
+}
+
 } // namespace
 
 asio::awaitable<fleet_response> fleet_server::serve(fleet_request request,
@@ -373,9 +384,13 @@
     if (std::holds_alternative<read_configuration_call>(call.request)) {
         return readConfiguration();
     }
-    if (const auto *announced = std::get_if<heartbeat_call>(&call.request);
-        announced != nullptr && !m_leadership && isUnchanged(announced->heartbeat)) {
-        return acceptUnchanged();
+    if (const auto *announced = std::get_if<heartbeat_call>(&call.request)) {
+        if (!m_leadership && isUnchanged(announced->heartbeat)) {
+            return acceptUnchanged();
+        }
+        if (std::string excess = describeExcess(announced->heartbeat.record); !excess.empty()) {
+            return refuseExcess(m_context.metricsRegistry, std::move(excess));
+        }
     }
     return serveOrForward(std::move(call));
 }
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -37,6 +37,8 @@
     connection_limits connections;
     // What the connections from workers and operators hold together.
     std::uint64_t connectionMemory = 64ULL << 20U;
+    // What the registered workers hold together.
+    registration_limits registrations;
     // With more workers the leader calls them through the other replicas.
     std::size_t directWorkers = 600;
     // The time limit of a planned stop.
--- a/Source/Dispatch/fleet_settings.cxx
+++ b/Source/Dispatch/fleet_settings.cxx
@@ -62,7 +62,10 @@
     settings.replicas.bytesPerSnapshot =
             fleet.bytes("snapshot_bytes", settings.replicas.bytesPerSnapshot);
     settings.directWorkers = fleet.count("direct_workers", settings.directWorkers);
-    const connection_budget_limits available = readMachineLimits(fleet);
+    const machine_limits machine = readMachineLimits(fleet);
+    const connection_budget_limits available =
+            divideMachine(machine.memoryBytes, machine.descriptors);
+    settings.registrations = limitRegistrations(machine.memoryBytes);
     settings.connections = divideConnections(available.connections);
     settings.connectionMemory = available.bytes;
     settings_reader timing(sectionOf(sections, "timing"), path);
--- a/Source/Fleet/fleet_state_machine.cxx
+++ b/Source/Fleet/fleet_state_machine.cxx
@@ -1,9 +1,24 @@
 #include "Fleet/fleet_state_machine.h"
 
+#include "Fleet/worker_registration.h"
 #include "Wire/codec.h"
 
 namespace mango {
 
+namespace {
+
+// Returns the id of the worker whose record the command may change; empty when there is none.
+std::string workerOf(const fleet_command &change)
+{
+    if (const auto *registered = std::get_if<register_worker>(&change)) {
+        return registered->record.incarnation.id;
+    }
+    const auto *removed = std::get_if<remove_worker>(&change);
+    return removed == nullptr ? "" : removed->incarnation.id;
+}
+
+} // namespace
+
 std::optional<std::any> fleet_state_machine::apply(std::uint64_t /*index*/,
                                                    const std::string &payload)
 {
@@ -16,7 +31,10 @@
     } else if (const auto *ended = std::get_if<end_runs>(&change)) {
         noteEnds(m_sightings, m_state, *ended, m_clock.now());
     }
+    const std::string worker = workerOf(change);
+    m_workerBytes -= workerBytesOf(worker);
     const fleet_command_result outcome = mango::apply(m_state, change);
+    m_workerBytes += workerBytesOf(worker);
     if (const auto *submitted = std::get_if<submit_job>(&change)) {
         m_knownSince.try_emplace(submitted->job, m_clock.now());
     }
@@ -48,6 +66,10 @@
         return false;
     }
     m_state = std::move(loaded);
+    m_workerBytes = 0;
+    for (const auto &[id, record] : m_state.workers) {
+        m_workerBytes += registeredBytes(record);
+    }
     m_sightings = {};
     for (const auto &[job, content] : m_state.jobs) {
         m_knownSince.try_emplace(job, m_clock.now());
@@ -55,6 +77,12 @@
     return true;
 }
 
+std::uint64_t fleet_state_machine::workerBytesOf(const std::string &id) const
+{
+    const auto known = m_state.workers.find(id);
+    return known == m_state.workers.end() ? 0 : registeredBytes(known->second);
+}
+
 void fleet_state_machine::observe(observer callback)
 {
     m_observer = std::move(callback);
--- a/Source/Fleet/fleet_state_machine.h
+++ b/Source/Fleet/fleet_state_machine.h
@@ -38,9 +38,18 @@
         return m_sightings;
     }
 
+    // Returns what the registered workers hold together (Fleet/worker_registration.h).
+    [[nodiscard]] std::uint64_t workerBytes() const
+    {
+        return m_workerBytes;
+    }
+
 private:
+    [[nodiscard]] std::uint64_t workerBytesOf(const std::string &id) const;
+
     const clock_source &m_clock;
     fleet_state m_state;
+    std::uint64_t m_workerBytes = 0;
     std::map<std::uint64_t, steady_time> m_knownSince;
     run_sightings m_sightings;
     observer m_observer;
--- a/Source/Gateway/gateway_settings.cxx
+++ b/Source/Gateway/gateway_settings.cxx
@@ -19,7 +19,8 @@
     settings.readiness = reader.requiredAddress("readiness");
     settings.metrics = reader.address("metrics", {});
     settings.seeds = readSeeds(reader);
-    settings.connections = readMachineLimits(reader);
+    const machine_limits machine = readMachineLimits(reader);
+    settings.connections = divideMachine(machine.memoryBytes, machine.descriptors);
     settings.leaveTime = reader.duration("leave_time", settings.leaveTime);
     settings.shutdownTimeout = reader.duration("stop_time", settings.shutdownTimeout);
     if (settings.shutdownTimeout < settings.leaveTime) {
--- a/Source/Http/connection_budget.cxx
+++ b/Source/Http/connection_budget.cxx
@@ -24,7 +24,7 @@
             descriptors - std::min(descriptors, reservedDescriptors)};
 }
 
-connection_budget_limits readMachineLimits(settings_reader &reader)
+machine_limits readMachineLimits(settings_reader &reader)
 {
     const std::uint64_t memory = reader.bytes("memory", defaultMachineBytes);
     if (memory < minimumMachineBytes) {
@@ -35,7 +35,7 @@
         reader.reject("descriptors",
                       "must be " + std::to_string(minimumMachineDescriptors) + " or more");
     }
-    return divideMachine(memory, descriptors);
+    return {memory, descriptors};
 }
 
 std::uint64_t addConnection(connection_table &table)
--- a/Source/Http/connection_budget.h
+++ b/Source/Http/connection_budget.h
@@ -28,9 +28,16 @@
 constexpr std::uint64_t minimumMachineBytes = 32ULL << 20U;
 constexpr std::uint64_t minimumMachineDescriptors = 512;
 
-// Reads the keys `memory` and `descriptors`, what the machine of the process offers, and divides
-// them. Values that are too small are reported through the reader.
-connection_budget_limits readMachineLimits(settings_reader &reader);
+// What the machine of a process offers to it.
+struct machine_limits
+{
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t descriptors = 0;
+};
+
+// Reads the keys `memory` and `descriptors`. Values that are too small are reported through the
+// reader.
+machine_limits readMachineLimits(settings_reader &reader);
 
 // What a connection holds without any buffer: its socket, its stream and its coroutines.
 constexpr std::uint64_t connectionBytes = 12U << 10U;
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -148,6 +148,7 @@
             settings.listen = addressOf(number);
             settings.replicas.mayBootstrap = firstStart;
             settings.directWorkers = group.m_directWorkers;
+            settings.registrations = group.registrations;
             for (std::size_t other = 0; other < group.m_seedCount; ++other) {
                 settings.replicas.seeds.push_back(addressOf(other));
             }
@@ -316,6 +317,9 @@
         return graph;
     }
 
+    // What the registered workers of the processes that start after a change may hold.
+    registration_limits registrations;
+
     std::unique_ptr<boost::asio::io_context> context = std::make_unique<boost::asio::io_context>(1);
     fake_clock clock{*context};
     std::shared_ptr<fake_links> links;
