dispatch: Limit the failure domains that are out of service

A name of more than 255 bytes, and the domain after 1,000 others that are out of service, are refused with 400 and the reason. An order that changes nothing is acknowledged as before, and so is one that puts a domain back.

failure_domains.areOutOfServiceWithoutLimit fails with the limits a hundred times as large, as without them.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -242,6 +242,22 @@
     co_return response;
 }
 
+// Returns why an order for a failure domain is not carried out; empty when it is.
+std::string describeDomainExcess(const dispatch_state &state, const domain_call &call)
+{
+    // More than any deployment has, with those of names that were misspelt.
+    constexpr std::size_t maximumDomains = 1000;
+    if (call.failureDomain.size() > maximumWorkerNameBytes) {
+        return "the failure domain has " + std::to_string(call.failureDomain.size())
+               + " bytes; at most " + std::to_string(maximumWorkerNameBytes) + " are allowed";
+    }
+    const std::size_t outOfService = state.context.machine.state().domainsOutOfService.size();
+    if (call.outOfService && outOfService >= maximumDomains) {
+        return std::to_string(outOfService) + " failure domains are out of service already";
+    }
+    return "";
+}
+
 asio::awaitable<fleet_response> serve(dispatch_handle state, domain_call call,
                                       const fleet_call &origin)
 {
@@ -251,6 +267,11 @@
     if (out == call.outOfService) {
         co_return responseOf(fleet_outcome::accepted);
     }
+    if (const std::string excess = describeDomainExcess(*state, call); !excess.empty()) {
+        fleet_response response = responseOf(fleet_outcome::invalid);
+        response.text = excess;
+        co_return response;
+    }
     fleet_command change =
             set_domain_availability{call.failureDomain, call.outOfService, receivedAfter};
     std::optional<fleet_command_result> committed = fleet_command_result::overtaken;
--- a/Tests/Unit/late_domain_order_test.cxx
+++ b/Tests/Unit/late_domain_order_test.cxx
@@ -109,4 +109,23 @@
     EXPECT_EQ(startsAfterASubmission(7), 0U);
 }
 
+// Orders for failure domains of any name, in any number, were replicated for ever.
+TEST(failure_domains, areOutOfServiceWithoutLimit)
+{
+    fleet_group group(3);
+    const auto order = [&group](const std::string &domain, bool out) {
+        return group.call(domain_call{domain, out});
+    };
+    const fleet_response tooLong = order(std::string(256, 'z'), true);
+    EXPECT_EQ(tooLong.outcome, fleet_outcome::invalid);
+    EXPECT_EQ(tooLong.text, "the failure domain has 256 bytes; at most 255 are allowed");
+    for (int number = 0; number < 1000; ++number) {
+        ASSERT_EQ(order("z-" + std::to_string(number), true).outcome, fleet_outcome::accepted);
+    }
+    EXPECT_EQ(order("z-1000", true).outcome, fleet_outcome::invalid);
+    EXPECT_EQ(order("z-0", true).outcome, fleet_outcome::accepted);
+    EXPECT_EQ(order("z-0", false).outcome, fleet_outcome::accepted);
+    EXPECT_EQ(order("z-1000", true).outcome, fleet_outcome::accepted);
+}
+
 } // namespace mango::test
