dispatch: Limit what the report of a worker makes the leader keep

The checkpoints that a worker reports are replicated with their tasks, whatever their size, and all runs of a report that the leader does not know were stopped at once, each with a coroutine and a call.

--- a/Source/Dispatch/worker_reports.cxx
+++ b/Source/Dispatch/worker_reports.cxx
@@ -8,6 +8,7 @@
 #include "Common/event_log.h"
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
+#include "Dispatch/report_limits.h"
 
 namespace mango {
 
@@ -64,16 +65,13 @@
     return takenOver;
 }
 
-void processReportedRun(const dispatch_handle &state, const tracked_worker_handle &worker,
+// Returns false when the leader does not know the run.
+bool processReportedRun(const dispatch_handle &state, const tracked_worker_handle &worker,
                         const worker_report &report, const reported_run &row)
 {
     tracked_run *known = findRun(state, worker, row.key);
     if (known == nullptr) {
-        // An untracked run, of a finished job or declared lost before: stop it.
-        logEvent(log_part::scheduler, "stray-run",
-                 {{"run", toText(row.key)}, {"worker", worker->record.incarnation.id}});
-        asio::co_spawn(state->context.executor, sendStop(state, worker, row.key), asio::detached);
-        return;
+        return false;
     }
     tracked_run &run = *known;
     if (run.phase == run_phase::unconfirmed || run.phase == run_phase::starting) {
@@ -96,6 +94,16 @@
     if (!row.checkpoint.empty()) {
         run.checkpoint = row.checkpoint;
     }
+    return true;
+}
+
+// Stops a run of a finished job, or one that was declared lost before.
+void stopStrayRun(const dispatch_handle &state, const tracked_worker_handle &worker,
+                  const run_key &key)
+{
+    logEvent(log_part::scheduler, "stray-run",
+             {{"run", toText(key)}, {"worker", worker->record.incarnation.id}});
+    asio::co_spawn(state->context.executor, sendStop(state, worker, key), asio::detached);
 }
 
 void processReportedEnd(const dispatch_handle &state, const tracked_worker_handle &worker,
@@ -175,8 +183,12 @@
         processReportedEnd(state, worker, end);
     }
     recordWorkerHeardAgain(state, worker);
+    std::size_t strays = 0;
     for (const reported_run &row : report.running) {
-        processReportedRun(state, worker, report, row);
+        const bool isKnown = processReportedRun(state, worker, report, row);
+        if (!isKnown && ++strays <= maximumStrayStops) {
+            stopStrayRun(state, worker, row.key);
+        }
     }
     const bool complete = report.malformedRows == 0 && report.ended.size() < maximumReportedEnds;
     if (complete) {
--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -6,6 +6,7 @@
 #include "Common/event_log.h"
 #include "Common/log.h"
 #include "Dispatch/crash_tracking.h"
+#include "Dispatch/report_limits.h"
 #include "Dispatch/room_refusals.h"
 #include "Dispatch/run_throttling.h"
 #include "Dispatch/worker_reports.h"
@@ -113,6 +114,16 @@
                 std::max(worker->failedCallSentAt.value_or(steady_time{}), *sentAt);
     }
     worker->reportCallsInFlight.erase(sentAt);
+    if (auto *report = std::get_if<worker_report>(&response)) {
+        const std::size_t dropped = dropLargeCheckpoints(*report);
+        state->context.metricsRegistry.at("mango_checkpoints_dropped_total") += dropped;
+        if (dropped > 0) {
+            logEvent(log_part::scheduler, "checkpoints-dropped",
+                     {{"worker", worker->record.incarnation.id},
+                      {"count", dropped},
+                      {"limit_bytes", maximumCheckpointBytes}});
+        }
+    }
     co_return response;
 }
 
