dispatch: Drop crashes at addresses that are no longer in use

Recent crashes were kept by address, and old ones were dropped only when a worker at the same address crashed again, so that the leader's map grew with each address that was used once. No test counts the map.

--- a/Source/Dispatch/crash_tracking.cxx
+++ b/Source/Dispatch/crash_tracking.cxx
@@ -56,6 +56,10 @@
 void addRecentCrash(dispatch_state &state, const host_address &address)
 {
     const steady_time now = state.context.clock.now();
+    // An address may not be used again, so those of other workers are cleared as well.
+    std::erase_if(state.crashesByAddress, [now](const auto &item) {
+        return now - item.second.back() >= crashMemory;
+    });
     std::deque<steady_time> &crashes = state.crashesByAddress[address];
     while (!crashes.empty() && now - crashes.front() >= crashMemory) {
         crashes.pop_front();
