state: Count restarts of workers long after the start

No caller reported it. Only lost work was looked at, so that a long run that had just saved a checkpoint counted like a crash at the start.

Each restart counts now. Five minutes of progress since the last one, saved or lost, make up for one restart instead of all of them.

cluster_state.taskRestartsWorkersWithoutALimit failed before for runs of 12, 60 and 299 s, with the task pending after four restarts; ordinaryRestartsOfWorkersEndATask failed before, as four restarts after runs of 400 s that had saved their work ended the task.

The former test had a run of 60 s make up for all earlier restarts, which is the fault; the two tests replace it.

--- a/Source/State/cluster_state.cxx
+++ b/Source/State/cluster_state.cxx
@@ -12,8 +12,8 @@
 constexpr std::size_t maximumClaims = 100'000;
 constexpr std::uint32_t maximumTaskFailures = 5;
 constexpr std::uint32_t maximumWorkerRestarts = 4;
-// A run whose worker restarts later than this was hardly the cause.
-constexpr std::uint64_t startSurvivedAfterMs = 10'000;
+// A run that has made this much progress when its worker restarts was hardly the cause.
+constexpr std::uint64_t harmlessProgressMs = 300'000;
 
 const idempotency_record *findRecord(const cluster_state &state, const std::string &changeId)
 {
@@ -204,13 +204,19 @@
     }
 }
 
-// A task that ends the processes of its workers is not started for ever.
+// A task that ends the processes of its workers is not started for ever, at whatever time after its
+// start it does so. A long run makes up for one restart.
 void recordWorkerRestart(cluster_state &state, const task_report &report, std::uint64_t wallTimeMs)
 {
     task_record &task = state.tasks[report.task];
     task.lostMs += report.lostMs;
-    const bool survivedStart = report.lostMs >= startSurvivedAfterMs;
-    task.workerRestarts = survivedStart ? 0 : task.workerRestarts + 1;
+    const std::uint64_t progressMs = task.progressMs + report.lostMs;
+    if (progressMs - std::min(progressMs, task.resumedFromMs) >= harmlessProgressMs) {
+        task.workerRestarts -= std::min(task.workerRestarts, 1U);
+    } else {
+        ++task.workerRestarts;
+    }
+    task.resumedFromMs = task.progressMs;
     if (task.workerRestarts < maximumWorkerRestarts) {
         requeueTask(state, report.task, wallTimeMs);
         return;
--- a/Source/State/records.h
+++ b/Source/State/records.h
@@ -83,15 +83,17 @@
     std::uint64_t lostMs = 0;
     std::uint32_t evictions = 0;
     std::uint32_t failures = 0;
-    // Restarts of its workers shortly after its starts, without a longer run in between.
+    // Restarts of its workers under its runs, less what long runs have made up for.
     std::uint32_t workerRestarts = 0;
+    // Run time that was covered when its worker last restarted.
+    std::uint64_t resumedFromMs = 0;
     std::string outcome;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(phase, epoch, worker, workerIncarnation, checkpoint, previousCheckpoint, progressMs,
-                lostMs, evictions, failures, workerRestarts, outcome);
+                lostMs, evictions, failures, workerRestarts, resumedFromMs, outcome);
     }
 };
 
--- a/Tests/Unit/cluster_state_test.cxx
+++ b/Tests/Unit/cluster_state_test.cxx
@@ -112,25 +112,56 @@
     EXPECT_EQ(jobPhase(*findJob(state, 1)), "failed");
 }
 
-// Workers restarted under a task for ever; restarts after longer runs have other causes.
+namespace {
+
+void restartUnder(cluster_state &state, std::uint64_t epoch, std::uint64_t lostMs)
+{
+    place(state, {1, 0}, epoch, "w1");
+    apply(state, report_tasks_command{
+                         {{{1, 0}, epoch, task_change::workerRestarted, "", 0, lostMs, ""}}, 1});
+}
+
+} // namespace
+
+// Workers restarted under a task for ever, if each run had lasted for 10 s or longer, and one such
+// run made up for all earlier restarts.
 TEST(cluster_state, taskRestartsWorkersWithoutALimit)
 {
-    const auto restart = [](cluster_state &state, std::uint64_t epoch, std::uint64_t lostMs) {
-        place(state, {1, 0}, epoch, "w1");
-        apply(state,
-              report_tasks_command{
-                      {{{1, 0}, epoch, task_change::workerRestarted, "", 0, lostMs, ""}}, 1});
-    };
+    for (const std::uint64_t lastedMs : {20U, 12'000U, 60'000U, 299'000U}) {
+        cluster_state state = stateWithJob(1);
+        for (std::uint64_t epoch = 1; epoch <= 4; ++epoch) {
+            EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::pending);
+            restartUnder(state, epoch, lastedMs);
+        }
+        EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::failed) << lastedMs;
+        EXPECT_EQ(jobPhase(*findJob(state, 1)), "failed");
+    }
+}
+
+// Restarts after long runs have other causes, also when the runs have saved most of their work.
+TEST(cluster_state, ordinaryRestartsOfWorkersEndATask)
+{
     cluster_state state = stateWithJob(1);
     for (std::uint64_t epoch = 1; epoch <= 12; ++epoch) {
-        restart(state, epoch, epoch % 3 == 0 ? 60'000 : 20);
+        restartUnder(state, epoch, epoch % 2 == 0 ? 400'000 : 20);
     }
     EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::pending);
-    for (std::uint64_t epoch = 13; epoch <= 16; ++epoch) {
-        restart(state, epoch, 20);
+    std::uint64_t progressMs = 0;
+    for (std::uint64_t epoch = 13; epoch <= 24; ++epoch) {
+        place(state, {1, 0}, epoch, "w1");
+        progressMs += 400'000;
+        apply(state, report_tasks_command{{{{1, 0},
+                                            epoch,
+                                            task_change::checkpointed,
+                                            "c" + std::to_string(epoch),
+                                            progressMs,
+                                            0,
+                                            ""}},
+                                          1});
+        apply(state, report_tasks_command{
+                             {{{1, 0}, epoch, task_change::workerRestarted, "", 0, 20, ""}}, 1});
     }
-    EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::failed);
-    EXPECT_EQ(jobPhase(*findJob(state, 1)), "failed");
+    EXPECT_EQ(findTask(state, {1, 0})->phase, task_phase::pending);
 }
 
 // P7: one attempt holds the claim on a key and may repeat it; other attempts are told which one.
