state: Refuse waiting requests whose route has been removed

A request with a key that waited for a worker had no claim.

Claims and submissions now carry the method, the path and the version of the configuration of their entry. The replicated state knows since when each row has been in the table, and refuses a key without a record when no row has matched since that version, also after the row was put back. An entry that lacks a row which the leader has answers "unknown".

The case took a resend without any answer for a true report; it asks for one now.

--- a/Source/Control/control_server.cxx
+++ b/Source/Control/control_server.cxx
@@ -128,11 +128,12 @@
 
 namespace {
 
-key_response describeKey(const cluster_state &state, const std::string &key)
+key_response describeKey(const cluster_state &state, const key_request &request)
 {
     key_response response;
-    response.job = findJobByKey(state, key);
-    if (const auto claim = state.claims.find(key); claim != state.claims.end()) {
+    response.job = findJobByKey(state, request.key);
+    response.routed = matchRoute(state.parsedRoutes, request.method, request.path) != nullptr;
+    if (const auto claim = state.claims.find(request.key); claim != state.claims.end()) {
         response.claim = claim->second;
     }
     return response;
@@ -177,7 +178,7 @@
         co_return job_response{!text.empty(), text};
     }
     if (const auto *request = std::get_if<key_request>(&message)) {
-        co_return describeKey(m_machine.state(), request->key);
+        co_return describeKey(m_machine.state(), *request);
     }
     auto &proposal = std::get<propose_request>(message);
     if (auto *job = std::get_if<submit_job_command>(&proposal.change);
--- a/Source/Entry/caller_api.cxx
+++ b/Source/Entry/caller_api.cxx
@@ -238,6 +238,7 @@
     entry.retryBudget = std::min(retryBudgetLimit, entry.retryBudget + entry.settings.retryPercent);
     dispatched_request dispatched;
     dispatched.id = entry.incarnation + "-" + std::to_string(entry.nextRequest++);
+    dispatched.configVersion = entry.configVersion;
     dispatched.idempotent = row.idempotent;
     dispatched.deadline = entry.clock.now() + deadlineOf(request, row);
     dispatched.request = std::move(request);
--- a/Source/Entry/control_client.cxx
+++ b/Source/Entry/control_client.cxx
@@ -146,9 +146,9 @@
 }
 
 asio::awaitable<result<key_response, control_failure>>
-control_client::queryKey(std::string key, steady_time deadline)
+control_client::queryKey(key_request request, steady_time deadline)
 {
-    const call message{0, key_request{std::move(key)}};
+    const call message{0, std::move(request)};
     while (m_entry.clock.now() < deadline) {
         const auto answered = co_await invoke(message, reportTimeout);
         const auto *found =
--- a/Source/Entry/control_client.h
+++ b/Source/Entry/control_client.h
@@ -34,7 +34,7 @@
     boost::asio::awaitable<result<std::optional<std::string>, control_failure>>
     queryJob(std::uint64_t job, steady_time deadline);
     // Returns what is recorded of the requests with a key; fails as queryJob() does.
-    boost::asio::awaitable<result<key_response, control_failure>> queryKey(std::string key,
+    boost::asio::awaitable<result<key_response, control_failure>> queryKey(key_request request,
                                                                            steady_time deadline);
 
 private:
--- a/Source/Entry/dispatch.h
+++ b/Source/Entry/dispatch.h
@@ -21,6 +21,8 @@
 {
     std::string id;
     http_request request;
+    // The version of the configuration in which it was matched with its route.
+    std::uint64_t configVersion = 0;
     bool idempotent = false;
     steady_time deadline;
 };
--- a/Source/Entry/entry_state.h
+++ b/Source/Entry/entry_state.h
@@ -64,7 +64,8 @@
     noWorker,
     deadlinePassed,
     overloaded,
-    claimFailed
+    claimFailed,
+    routeRemoved
 };
 
 // A queued request that waits for a credit. It is a local variable of the waiting coroutine.
--- a/Source/Entry/job_api.cxx
+++ b/Source/Entry/job_api.cxx
@@ -90,7 +90,8 @@
     if (key.empty()) {
         key = "request " + request.id;
     }
-    const submit_job_command change{*spec, key, static_cast<std::uint64_t>(wallTime.count())};
+    const submit_job_command change{*spec, key, static_cast<std::uint64_t>(wallTime.count()),
+                                    routedRequestOf(request)};
     const auto proposed = co_await control.propose(change, request.deadline);
     if (failed(proposed)) {
         co_return failureOf(proposed) == control_failure::notCommitted
@@ -101,6 +102,9 @@
         co_return jobResponse(202, accepted->version);
     }
     const auto *refused = std::get_if<change_refused>(&valueOf(proposed));
+    if (refused != nullptr && refused->reason == command_refusal_reason::routeRemoved) {
+        co_return routeRemovedResponse(entry, request.request, row.pool);
+    }
     co_return entryResponse(422, "not-run", refused == nullptr ? "refused" : refused->detail);
 }
 
--- a/Source/Entry/keyed_request.cxx
+++ b/Source/Entry/keyed_request.cxx
@@ -123,6 +123,35 @@
     return key.empty() ? "" : request.method + " " + pathOf(request.target) + ":" + key;
 }
 
+routed_request routedRequestOf(const dispatched_request &request)
+{
+    return {request.request.method, pathOf(request.request.target), request.configVersion};
+}
+
+http_response routeRemovedResponse(entry_state &entry, const http_request &request,
+                                   const std::string &pool)
+{
+    const bool isRouted =
+            matchRoute(entry.routeTable, request.method, pathOf(request.target)) != nullptr;
+    return refusalResponse(entry, isRouted ? refusal_reason::routeRemoved : refusal_reason::noRoute,
+                           pool);
+}
+
+namespace {
+
+// Returns the response to a request without a route of which nothing is recorded. It is certain not
+// to run only if no entry has a route for it.
+http_response unrecordedResponse(entry_state &entry, bool isRouted)
+{
+    if (isRouted) {
+        return unknownOutcomeResponse(
+                entry, "this entry does not know the route yet, and another one may run it");
+    }
+    return refusalResponse(entry, refusal_reason::noRoute, "");
+}
+
+} // namespace
+
 asio::awaitable<http_response> serveWithoutRoute(entry_state &entry, control_client &control,
                                                  http_request request)
 {
@@ -131,7 +160,8 @@
         co_return refusalResponse(entry, refusal_reason::noRoute, "");
     }
     const steady_time deadline = entry.clock.now() + queryTimeout;
-    const auto queried = co_await control.queryKey(key, deadline);
+    key_request query{key, request.method, pathOf(request.target)};
+    const auto queried = co_await control.queryKey(std::move(query), deadline);
     if (failed(queried)) {
         co_return unknownOutcomeResponse(
                 entry, "no route matches, and a request with this key may have run before");
@@ -141,7 +171,7 @@
         co_return jobResponse(202, *recorded.job);
     }
     if (!recorded.claim) {
-        co_return refusalResponse(entry, refusal_reason::noRoute, "");
+        co_return unrecordedResponse(entry, recorded.routed);
     }
     if (recorded.claim->fingerprint != fingerprintOf(request)) {
         co_return keyReusedResponse();
@@ -155,7 +185,7 @@
     if (response) {
         co_return std::move(*response);
     }
-    co_return refusalResponse(entry, refusal_reason::noRoute, "");
+    co_return unrecordedResponse(entry, recorded.routed);
 }
 
 asio::awaitable<http_response> serveKeyed(entry_state &entry, control_client &control,
@@ -181,7 +211,8 @@
                                    attemptName,
                                    worker.announced.name,
                                    worker.announced.incarnation,
-                                   static_cast<std::uint64_t>(wallTime.count())};
+                                   static_cast<std::uint64_t>(wallTime.count()),
+                                   routedRequestOf(request)};
         const auto proposed = co_await control.propose(change, request.deadline);
         claimed = !failed(proposed) && std::holds_alternative<change_accepted>(valueOf(proposed));
         const bool tooLate = entry.clock.now() >= request.deadline || !holdsLease(entry);
@@ -195,8 +226,10 @@
         if (const auto *previous = std::get_if<already_answered>(&valueOf(proposed))) {
             co_return replayedResponse(previous->response);
         }
-        if (std::holds_alternative<change_refused>(valueOf(proposed))) {
-            co_return keyReusedResponse();
+        if (const auto *refused = std::get_if<change_refused>(&valueOf(proposed))) {
+            co_return refused->reason == command_refusal_reason::routeRemoved
+                    ? routeRemovedResponse(entry, request.request, row.pool)
+                    : keyReusedResponse();
         }
         if (const auto *other = std::get_if<claim_conflict>(&valueOf(proposed))) {
             auto response = co_await resolveConflict(entry, control, key, *other, request.deadline);
--- a/Source/Entry/keyed_request.h
+++ b/Source/Entry/keyed_request.h
@@ -9,6 +9,15 @@
 // which stay the same when the routes change. Empty when the request has no Idempotency-Key.
 std::string recordKeyOf(const http_request &request);
 
+// Returns the request as it was matched with its route, for the commands that are refused once the
+// route has been removed.
+routed_request routedRequestOf(const dispatched_request &request);
+
+// Returns the response to a request that is not run because its route was removed while it waited.
+// Its caller may send it again if another route leads to a pool by now.
+http_response routeRemovedResponse(entry_state &entry, const http_request &request,
+                                   const std::string &pool);
+
 // Serves a request that must run at most once and has an Idempotency-Key. Claims the key for one
 // attempt on one worker before dispatching the request, and stores the response before sending it
 // to the caller, so that a resend to any entry gets the same response.
--- a/Source/Entry/responses.cxx
+++ b/Source/Entry/responses.cxx
@@ -29,6 +29,8 @@
         return {503, "deadline", "the deadline passed while it waited"};
     case refusal_reason::overloaded:
         return {503, "overloaded", "it could not be served before its deadline"};
+    case refusal_reason::routeRemoved:
+        return {503, "route_removed", "its route was removed while it waited"};
     case refusal_reason::claimFailed:
         break;
     }
--- a/Source/State/cluster_state.cxx
+++ b/Source/State/cluster_state.cxx
@@ -85,6 +85,9 @@
         ++state.configVersion;
         ++record.version;
         record.text = change.text;
+        if (change.table == table_kind::routes) {
+            recordRoutes(state.routesSince, state.parsedRoutes, state.configVersion);
+        }
         return change_accepted{record.version};
     });
 }
@@ -105,6 +108,17 @@
     });
 }
 
+bool hasLostRoute(const cluster_state &state, const std::optional<routed_request> &request)
+{
+    return request && !hasStayedRouted(state.routesSince, *request);
+}
+
+change_refused routeRemoved(const cluster_state &state)
+{
+    return {command_refusal_reason::routeRemoved, state.configVersion,
+            "the route was removed while the request waited"};
+}
+
 command_result applyChange(cluster_state &state, const submit_job_command &change)
 {
     if (!change.key.empty()) {
@@ -113,6 +127,9 @@
             return change_accepted{existing->second};
         }
     }
+    if (hasLostRoute(state, change.request)) {
+        return routeRemoved(state);
+    }
     if (change.spec.taskCount == 0) {
         return change_refused{command_refusal_reason::invalidJob, 0, "a job needs a task"};
     }
@@ -285,6 +302,9 @@
 command_result applyChange(cluster_state &state, const claim_command &change)
 {
     const auto found = state.claims.find(change.key);
+    if (found == state.claims.end() && hasLostRoute(state, change.request)) {
+        return routeRemoved(state);
+    }
     if (found == state.claims.end()) {
         state.claims[change.key] = {change.fingerprint,
                                     change.attempt,
--- a/Source/State/cluster_state.h
+++ b/Source/State/cluster_state.h
@@ -37,6 +37,7 @@
     std::map<task_id, task_record> tasks;
     // By idempotency key.
     std::map<std::string, claim_record> claims;
+    route_history routesSince;
 
     // Derived from the fields above and not part of a snapshot; see rebuildIndexes().
     routes parsedRoutes;
@@ -48,7 +49,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(configVersion, tables, domains, idempotencyRecords, nextJob, jobs, tasks, claims);
+        archive(configVersion, tables, domains, idempotencyRecords, nextJob, jobs, tasks, claims,
+                routesSince);
     }
 };
 
--- a/Source/State/commands.h
+++ b/Source/State/commands.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "State/records.h"
+#include "State/route_history.h"
 
 namespace mango {
 
@@ -48,11 +50,14 @@
     job_spec spec;
     std::string key;
     std::uint64_t wallTimeMs = 0;
+    // The request of the caller. The job is refused when the route has been removed since, as a
+    // resend may have been told that the request was not run.
+    std::optional<routed_request> request;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(spec, key, wallTimeMs);
+        archive(spec, key, wallTimeMs, request);
     }
 };
 
@@ -154,11 +159,14 @@
     std::string worker;
     std::string workerIncarnation;
     std::uint64_t wallTimeMs = 0;
+    // The request of the caller. A key without a claim is not claimed when the route has been
+    // removed since, as a resend may have been told that the request was not run.
+    std::optional<routed_request> request;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(key, fingerprint, attempt, worker, workerIncarnation, wallTimeMs);
+        archive(key, fingerprint, attempt, worker, workerIncarnation, wallTimeMs, request);
     }
 };
 
@@ -232,7 +240,9 @@
     // The change id or idempotency key belongs to another change or request.
     keyReused,
     // The attempt does not hold the claim, or its response is already stored.
-    noLongerClaimed
+    noLongerClaimed,
+    // The route of the request has been removed since an entry matched it.
+    routeRemoved
 };
 
 // The command was refused and had no effect.
--- a/Source/Wire/messages.h
+++ b/Source/Wire/messages.h
@@ -386,15 +386,18 @@
     }
 };
 
-// Asks what is recorded of the requests with a key; only the leader responds with it.
+// Asks what is recorded of the requests with a key, for the method and path of one of them; only
+// the leader responds with it.
 struct key_request
 {
     std::string key;
+    std::string method;
+    std::string path;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(key);
+        archive(key, method, path);
     }
 };
 
@@ -403,11 +406,13 @@
 {
     std::optional<claim_record> claim;
     std::optional<std::uint64_t> job;
+    // The newest routing table has a route for the request, so that it may yet be run.
+    bool routed = false;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(claim, job);
+        archive(claim, job, routed);
     }
 };
 
--- a/Tests/Cases/requests/route_removed_while_waiting.lua
+++ b/Tests/Cases/requests/route_removed_while_waiting.lua
@@ -14,6 +14,7 @@
 wait_until(3000, "P10", "the configuration is not in force", configuration_in_force)
 local function resend() return http_request(caller_port(1), "POST", "/order", headers, "x", 3000) end
 local code, _, answer = resend()
+expect(code, "L1", "the resend was not answered")
 if code == 404 and answer["Mango-Outcome"] == "not-run" then
     sleep(10000)
     expect(resend() == 404, "P6", "the order ran after it was reported as not run")
--- a/Tests/Unit/cluster_state_test.cxx
+++ b/Tests/Unit/cluster_state_test.cxx
@@ -34,7 +34,7 @@
 
 claim_command claim(const std::string &attempt, const std::string &fingerprint = "f")
 {
-    return {"key", fingerprint, attempt, "w1", "i1", 1};
+    return {"key", fingerprint, attempt, "w1", "i1", 1, std::nullopt};
 }
 
 } // namespace
@@ -197,6 +197,78 @@
     EXPECT_TRUE(state.claims.empty());
 }
 
+namespace {
+
+std::uint64_t putRoutes(cluster_state &state, const std::string &text)
+{
+    apply(state, put_table_command{table_kind::routes, state.tables[table_kind::routes].version,
+                                   text, ""});
+    return state.configVersion;
+}
+
+claim_command claimRouted(const std::string &attempt, std::uint64_t configVersion)
+{
+    claim_command change = claim(attempt);
+    change.request = {"POST", "/order/7", configVersion};
+    return change;
+}
+
+const std::string orderRow = "[order]\npath = /order\nmethod = POST\npool = p\n";
+const std::string otherRow = "[other]\npath = /other\nmethod = POST\npool = p\n";
+const std::string outerRow = "[all]\npath = /\npool = p\n";
+
+} // namespace
+
+// P6: a request that waited while its row was removed ran after a resend had been told that it was
+// not run, also when the row had been put back in between.
+TEST(cluster_state, requestsRunAfterTheRemovalOfTheirRoute)
+{
+    cluster_state state;
+    const std::uint64_t matched = putRoutes(state, orderRow + otherRow);
+    putRoutes(state, otherRow);
+    const command_result late = apply(state, claimRouted("a", matched));
+    ASSERT_TRUE(std::holds_alternative<change_refused>(late));
+    EXPECT_EQ(std::get<change_refused>(late).reason, command_refusal_reason::routeRemoved);
+    const std::uint64_t back = putRoutes(state, orderRow);
+    cluster_state loaded;
+    ASSERT_TRUE(decodeState(encodeState(state), loaded));
+    EXPECT_FALSE(accepted(apply(loaded, claimRouted("a", matched))));
+    EXPECT_TRUE(accepted(apply(loaded, claimRouted("b", back))));
+    submit_job_command job;
+    job.spec.taskCount = 1;
+    job.request = {"POST", "/order", matched};
+    EXPECT_FALSE(accepted(apply(state, job)));
+    job.request->configVersion = back;
+    EXPECT_TRUE(accepted(apply(state, job)));
+}
+
+// Changes of other rows, and of its own row's pool and name, leave a waiting request alone.
+TEST(cluster_state, changesOfOtherRoutesEndWaitingRequests)
+{
+    cluster_state state;
+    const std::uint64_t matched = putRoutes(state, orderRow);
+    putRoutes(state, orderRow + otherRow);
+    putRoutes(state, "[renamed]\npath = /order\nmethod = POST\npool = q\n");
+    apply(state, set_domain_command{"d", false, 0, ""});
+    EXPECT_TRUE(accepted(apply(state, claimRouted("a", matched))));
+    const std::uint64_t outer = putRoutes(state, outerRow + orderRow);
+    putRoutes(state, outerRow);
+    claim_command other = claimRouted("b", outer);
+    other.key = "another";
+    EXPECT_TRUE(accepted(apply(state, other)));
+}
+
+// What was claimed before the row was removed stays claimed, so that a resend gets its answer.
+TEST(cluster_state, claimsAreLostWithTheirRoute)
+{
+    cluster_state state;
+    const std::uint64_t matched = putRoutes(state, orderRow);
+    apply(state, claimRouted("a", matched));
+    putRoutes(state, otherRow);
+    EXPECT_TRUE(accepted(apply(state, claimRouted("a", matched))));
+    EXPECT_TRUE(std::holds_alternative<claim_conflict>(apply(state, claimRouted("b", matched))));
+}
+
 // A job that is submitted again with the same key yields the id of the first job.
 TEST(cluster_state, resubmittedJobIsTheFirstJob)
 {
