--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -64,6 +64,22 @@
     EXPECT_EQ(fleet.phase(crashingJob), job_phase::failed);
 }
 
+// Runs the fleet, and kills the process of the leader after each crash of a worker.
+void runWithNewLeaders(crash_fleet &fleet, seconds duration)
+{
+    std::size_t seen = 0;
+    for (seconds elapsed(0); elapsed < duration; ++elapsed) {
+        fleet.run(seconds(1));
+        const int leader = fleet.leader();
+        if (fleet.workers.crashes.size() > seen && leader >= 0) {
+            seen = fleet.workers.crashes.size();
+            fleet.crash(static_cast<std::size_t>(leader));
+            fleet.run(milliseconds(500));
+            fleet.start(static_cast<std::size_t>(leader), false);
+        }
+    }
+}
+
 } // namespace
 
 // A task whose runs all ended with their workers was started again without a limit.
@@ -102,17 +118,7 @@
 {
     crash_fleet fleet;
     fleet.submit(crashingJob, fleet_group::oneStep(1));
-    std::size_t seen = 0;
-    for (int step = 0; step < 60; ++step) {
-        fleet.run(seconds(1));
-        const int leader = fleet.leader();
-        if (fleet.workers.crashes.size() > seen && leader >= 0) {
-            seen = fleet.workers.crashes.size();
-            fleet.crash(static_cast<std::size_t>(leader));
-            fleet.run(milliseconds(500));
-            fleet.start(static_cast<std::size_t>(leader), false);
-        }
-    }
+    runWithNewLeaders(fleet, seconds(60));
     expectGivenUpWithinBudget(fleet);
 }
 
@@ -388,17 +394,7 @@
         return key.task.job == crashingJob ? milliseconds(14'000) : milliseconds(700);
     };
     fleet.submit(crashingJob, fleet_group::oneStep(1));
-    std::size_t seen = 0;
-    for (int step = 0; step < 120; ++step) {
-        fleet.run(seconds(1));
-        const int leader = fleet.leader();
-        if (fleet.workers.crashes.size() > seen && leader >= 0) {
-            seen = fleet.workers.crashes.size();
-            fleet.crash(static_cast<std::size_t>(leader));
-            fleet.run(milliseconds(500));
-            fleet.start(static_cast<std::size_t>(leader), false);
-        }
-    }
+    runWithNewLeaders(fleet, seconds(120));
     expectGivenUpWithinBudget(fleet);
 }
 
