dispatch: Count possible crashes before a run beyond the budget

A task with several crashes waits until it is known whether a silent worker has crashed under it. Crashes of which is not known whether the run had begun, as after changes of the leader, were left out of the count, so that a task with one certain and three possible crashes was started a sixth time while its fifth worker was silent (BUDGET).

MANGO_FIRST_SEED tries other seeds.

--- a/Source/Dispatch/trial_runs.cxx
+++ b/Source/Dispatch/trial_runs.cxx
@@ -19,8 +19,10 @@
 
 bool awaitsExplanations(const task_state &task)
 {
+    const crash_record &record = task.crashRecord;
     return !task.unexplained.empty()
-           && task.crashRecord.crashes + task.unexplained.size() >= maximumPossibleCrashes;
+           && record.crashes + record.possibleCrashes + task.unexplained.size()
+                      >= maximumPossibleCrashes;
 }
 
 } // namespace
--- a/Tests/Unit/crash_suspects_test.cxx
+++ b/Tests/Unit/crash_suspects_test.cxx
@@ -157,7 +157,7 @@
     EXPECT_TRUE(isProvenCulprit(recordOf(std::vector<crash_evidence>(5, unanswered()))));
 }
 
-// review/12: a crash 10 s after the start or later reset the record, that crash included.
+// A crash 10 s after the start or later reset the record, that crash included.
 TEST(crash_record, isResetByACrashLongAfterTheStart)
 {
     for (const seconds lasted : {seconds(10), seconds(12), seconds(60), seconds(299)}) {
--- a/Tests/Unit/worker_crash_test.cxx
+++ b/Tests/Unit/worker_crash_test.cxx
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+#include <numeric>
+
+#include "Common/random_source.h"
 #include "Scheduling/crash_trials.h"
 #include "Unit/fleet_group.h"
 
@@ -47,6 +51,15 @@
         }
     }
 
+    // Crashes the worker with this id, or the one that has taken its place.
+    void crashWorker(std::string id)
+    {
+        while (!workers.exists(id)) {
+            id += "+";
+        }
+        workers.crash(id);
+    }
+
     [[nodiscard]] std::size_t startsOf(std::uint64_t job) const
     {
         return static_cast<std::size_t>(std::count_if(workers.starts.begin(), workers.starts.end(),
@@ -362,7 +375,7 @@
     expectGivenUpWithinBudget(fleet);
 }
 
-// review/12: a crash 10 s after the start or later reset what was known of its task, which was then
+// A crash 10 s after the start or later reset what was known of its task, which was then
 // started for ever.
 TEST(worker_crashes, taskThatCrashesWorkersLateIsStartedForEver)
 {
@@ -398,6 +411,55 @@
     expectGivenUpWithinBudget(fleet);
 }
 
+// A task that crashes its workers at a drawn time after each start, beside sound jobs, ordinary
+// crashes and changes of the leader.
+TEST(worker_crashes, randomOrdersOfCrashesAndLeadersBreakTheBudget)
+{
+    // With 274 a sixth run was started while it was not known yet whether the fifth one had ended
+    // with its worker.
+    std::vector<std::uint64_t> seeds{1, 2, 274};
+    // MANGO_FIRST_SEED selects other seeds for manual runs.
+    if (const char *given = std::getenv("MANGO_FIRST_SEED"); given != nullptr) {
+        std::iota(seeds.begin(), seeds.end(), std::strtoull(given, nullptr, 10));
+    }
+    for (const std::uint64_t seed : seeds) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        seeded_random draw(seed);
+        const milliseconds delay(50U << draw.below(11));
+        crash_fleet fleet;
+        fleet.workers.crashDelay = delay;
+        fleet.workers.durationOf = [delay](const run_key &key) {
+            return key.task.job == crashingJob ? delay + seconds(2)
+                                               : milliseconds(500 + key.task.job * 97 % 400);
+        };
+        fleet.submit(crashingJob, fleet_group::oneStep(1));
+        std::vector<std::uint64_t> accepted;
+        const milliseconds interval(100 + draw.below(900));
+        const milliseconds span = 6 * (delay + seconds(6));
+        for (milliseconds passed(0); passed < span; passed += interval) {
+            if (fleet.submit(fleet.nextJob, fleet_group::oneStep(2)).outcome
+                == fleet_outcome::accepted) {
+                accepted.push_back(fleet.nextJob);
+            }
+            ++fleet.nextJob;
+            fleet.run(interval);
+            const int leader = fleet.leader();
+            if (draw.below(40) == 0 && leader >= 0) {
+                fleet.crash(static_cast<std::size_t>(leader));
+                fleet.run(milliseconds(100 + draw.below(1000)));
+                fleet.start(static_cast<std::size_t>(leader), false);
+            } else if (draw.below(100) == 0) {
+                fleet.crashWorker("w" + std::to_string(draw.below(8)));
+            }
+        }
+        fleet.run(seconds(20));
+        expectGivenUpWithinBudget(fleet);
+        for (const std::uint64_t job : accepted) {
+            EXPECT_EQ(fleet.phase(job), job_phase::completed) << "job " << job;
+        }
+    }
+}
+
 // A long-running task that lost its workers to other causes, each time after another while, is not
 // given up. Before, its runs were 12 s long each, as those of a task that crashes its workers.
 TEST(worker_crashes, ordinaryCrashesEndALongRunningJob)
