jobs: Give up a task after three crashes at least

The leader knows when it heard the worker last and that its process has ended since, not what the crash ended, but two crashes soon after the start were taken as proof.

Three crashes are needed now, which leaves room for one of which nobody knows what it ended.

Expectations of exactly two crashes ask for exactly three now, since two cannot be known to be under the task.

--- a/Source/Jobs/crash_record.cxx
+++ b/Source/Jobs/crash_record.cxx
@@ -18,6 +18,9 @@
 // A run is clearly longer than another one that it exceeds by this factor and time.
 constexpr int clearlyLongerFactor = 2;
 constexpr auto clearlyLongerTime = std::chrono::seconds(1);
+// A job must not fail before two workers have crashed under its task. One that was silent before it
+// crashed may have ended the run first, so one crash more has to be known.
+constexpr std::uint32_t minimumCrashes = 3;
 // The platform allows two more starts after the third crash.
 constexpr std::uint32_t maximumCrashes = 5;
 // This many requests without an answer count as one crash, unless nothing else is known.
@@ -129,10 +132,9 @@
 
 bool isProvenCulprit(const crash_record &record)
 {
-    return record.suspicion >= provenSuspicion
-           || record.crashes + record.possibleCrashes
-                              + record.unansweredCrashes / unansweredPerCrash
-                      >= maximumCrashes
+    const std::uint32_t crashes = record.crashes + record.possibleCrashes;
+    return (record.suspicion >= provenSuspicion && crashes >= minimumCrashes)
+           || crashes + record.unansweredCrashes / unansweredPerCrash >= maximumCrashes
            || (record.crashes == 0
                && record.possibleCrashes + record.unansweredCrashes >= maximumCrashes);
 }
--- a/Source/Jobs/crash_record.h
+++ b/Source/Jobs/crash_record.h
@@ -90,9 +90,9 @@
 
 // Returns true when no further run of the task may be started. Guards a service against tasks that
 // crash the workers that start them, at whatever time after the start: a task is given up once the
-// evidence suffices, which takes two crashes soon after a start or three later ones, and after five
-// crashes that nothing explains, the most that the platform allows. The design note
-// docs/design/crash-evidence.md derives the limits.
+// evidence suffices, which takes three crashes or more, and after five crashes that nothing
+// explains, the most that the platform allows. The design note docs/design/crash-evidence.md
+// derives the limits.
 bool isProvenCulprit(const crash_record &record);
 
 } // namespace mango
