tests: Give each server of a small deployment a port of its own

Each of the six possible pairs with one port, tried in turn, ends the control process or the edge with "Address already in use" and fails the test in this way. A failed start prints the logs of both processes.

--- a/Tests/Crowd/crowd_test.cxx
+++ b/Tests/Crowd/crowd_test.cxx
@@ -104,7 +104,7 @@
 protected:
     void SetUp() override
     {
-        ASSERT_TRUE(deployment.start());
+        ASSERT_TRUE(deployment.start()) << deployment.logs();
     }
 
     [[nodiscard]] host_address server() const
--- a/Tests/Crowd/small_deployment.cxx
+++ b/Tests/Crowd/small_deployment.cxx
@@ -7,6 +7,8 @@
 
 #include <boost/asio.hpp>
 
+#include "Runner/free_ports.h"
+
 namespace mango::test {
 
 namespace {
@@ -38,12 +40,6 @@
            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::uint16_t freePort(asio::io_context &context)
-{
-    const tcp::acceptor probe(context, {asio::ip::make_address(ip), 0});
-    return probe.local_endpoint().port();
-}
-
 // Replaces the placeholders of a template; of its sections only those with values `yes` are kept.
 std::string render(std::string text, const std::map<std::string, std::string> &values)
 {
@@ -113,11 +109,11 @@
                / ("mango-crowd-" + std::to_string(::getpid())))
 {
     std::filesystem::create_directories(m_folder / "data");
-    asio::io_context context;
-    callers = {ip, freePort(context)};
-    control = {ip, freePort(context)};
-    m_readiness = {ip, freePort(context)};
-    m_internalPort = freePort(context);
+    const std::vector<std::uint16_t> ports = freePorts(ip, 4);
+    callers = {ip, ports[0]};
+    control = {ip, ports[1]};
+    m_readiness = {ip, ports[2]};
+    m_internalPort = ports[3];
 }
 
 small_deployment::~small_deployment()
@@ -156,7 +152,7 @@
         if (!m_processes.start(
                     process,
                     {MANGO_PROGRAM_FOLDER "/mango_platform_" + process, "--settings", settings},
-                    (m_folder / (process + ".log")).string())) {
+                    logFile(process).string())) {
             return false;
         }
     }
@@ -166,6 +162,22 @@
     return configured == 200 && submitJob() == 200;
 }
 
+std::filesystem::path small_deployment::logFile(const std::string &process) const
+{
+    return m_folder / (process + ".log");
+}
+
+std::string small_deployment::logs() const
+{
+    std::string all;
+    for (const char *process : {"control", "edge"}) {
+        std::ifstream input(logFile(process));
+        all += std::string(process) + ":\n"
+               + std::string((std::istreambuf_iterator<char>(input)), {});
+    }
+    return all;
+}
+
 bool small_deployment::bothRun() const
 {
     // A child that has ended stays a zombie until it is waited for, without resident memory.
--- a/Tests/Crowd/small_deployment.h
+++ b/Tests/Crowd/small_deployment.h
@@ -27,6 +27,8 @@
     // Starts both processes and hands in a configuration; returns false when that did not succeed.
     bool start();
     [[nodiscard]] bool bothRun() const;
+    // What both processes have logged so far.
+    [[nodiscard]] std::string logs() const;
 
     // The greatest resident memory of a process since its start.
     [[nodiscard]] std::uint64_t peakMemoryMb(const std::string &process) const;
@@ -44,6 +46,7 @@
 
 private:
     std::string writeSettings(const std::string &process, const std::string &templateFile);
+    [[nodiscard]] std::filesystem::path logFile(const std::string &process) const;
 
     std::filesystem::path m_folder;
     host_address m_readiness;
