dispatch: Acknowledge repeated configurations without the leader

An operator whose acknowledgement was lost sends the same configuration again. Replicas passed it to the leader, and answered 503 while there was none, though they had applied that version or a newer one. They now acknowledge it themselves; what is applied is committed.

Each replica also logs the orders that it answers.

--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -44,6 +44,35 @@
     return response;
 }
 
+// What an operator's call asks for; empty for the calls of others.
+std::string describeOrder(const fleet_request &request)
+{
+    if (std::holds_alternative<read_configuration_call>(request)) {
+        return "read";
+    }
+    if (const auto *configure = std::get_if<configure_call>(&request)) {
+        return "configuration:" + std::to_string(configure->configuration.version);
+    }
+    if (const auto *change = std::get_if<domain_call>(&request)) {
+        return (change->outOfService ? "out-of-service:" : "into-service:") + change->failureDomain;
+    }
+    return "";
+}
+
+const char *describeOutcome(fleet_outcome outcome)
+{
+    switch (outcome) {
+    case fleet_outcome::accepted:
+        return "answered";
+    case fleet_outcome::invalid:
+        return "refused";
+    case fleet_outcome::uncertain:
+        return "uncertain";
+    default:
+        return "unavailable";
+    }
+}
+
 link_totals linkTotalsOf(metrics_registry &metrics)
 {
     return {metrics.at("mango_link_frames_total{direction=\"in\"}"),
@@ -381,8 +410,8 @@
 
 asio::awaitable<fleet_response> fleet_server::serve(fleet_call call)
 {
-    if (std::holds_alternative<read_configuration_call>(call.request)) {
-        return readConfiguration();
+    if (!describeOrder(call.request).empty()) {
+        return serveOperator(std::move(call));
     }
     if (const auto *announced = std::get_if<heartbeat_call>(&call.request)) {
         if (!m_leadership && isUnchanged(announced->heartbeat)) {
@@ -403,17 +432,30 @@
     return forwardToLeader(std::move(call));
 }
 
-asio::awaitable<fleet_response> fleet_server::readConfiguration()
+// True when this replica has applied a configuration that is as new as the one in the call. Applied
+// commands are committed, so the order is acknowledged without the leader.
+bool fleet_server::isOvertaken(const fleet_request &request) const
+{
+    const auto *order = std::get_if<configure_call>(&request);
+    return order != nullptr
+           && order->configuration.version <= m_machine.state().configuration.version;
+}
+
+asio::awaitable<fleet_response> fleet_server::serveOperator(fleet_call call)
 {
     const steady_time begin = m_context.clock.now();
     const bool leads = m_leadership != nullptr;
     const bool leaseHeld = leads && m_replica.hasLeaderLease();
     const host_address leader = m_replica.leaderAddress();
-    fleet_call read;
-    read.request = read_configuration_call{};
-    fleet_response response = co_await serveOrForward(std::move(read));
-    logEvent(log_part::control, "configuration-read",
-             {{"outcome", response.outcome == fleet_outcome::accepted ? "answered" : "unavailable"},
+    const bool isRead = std::holds_alternative<read_configuration_call>(call.request);
+    const std::string order = describeOrder(call.request);
+    fleet_response response = responseOf(fleet_outcome::accepted);
+    if (m_stopping || !isOvertaken(call.request)) {
+        response = co_await serveOrForward(std::move(call));
+    }
+    logEvent(log_part::control, isRead ? "configuration-read" : "order",
+             {{"order", order},
+              {"outcome", describeOutcome(response.outcome)},
               {"role", leads ? "leader" : "follower"},
               {"lease", leaseHeld ? "held" : "not-held"},
               {"leader", leader.port == 0 ? "unknown" : toText(leader)},
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -113,8 +113,9 @@
     boost::asio::awaitable<response_message> handleCall(call message);
     boost::asio::awaitable<fleet_response> serveOrForward(fleet_call call);
     boost::asio::awaitable<fleet_response> serveLocally(fleet_call call);
-    // Answers an operator's read of the configuration and logs how.
-    boost::asio::awaitable<fleet_response> readConfiguration();
+    // Answers an operator's order or read of the configuration and logs how.
+    boost::asio::awaitable<fleet_response> serveOperator(fleet_call call);
+    [[nodiscard]] bool isOvertaken(const fleet_request &request) const;
     boost::asio::awaitable<fleet_response> forwardToLeader(fleet_call forwarded);
     boost::asio::awaitable<void> watchLeadership();
     void recordLag(steady_span lag);
