--- a/Tests/Unit/worker_client_test.cxx
+++ b/Tests/Unit/worker_client_test.cxx
@@ -75,7 +75,7 @@
     std::vector<worker_time> clocks;
 };
 
-// A worker over HTTP on loopback that restarts under its id at its address.
+// A worker over HTTP on loopback that restarts under its id at its address, or ends.
 struct restarting_worker
 {
     explicit restarting_worker(std::uint16_t port)
@@ -95,11 +95,25 @@
         ++born;
     }
 
+    void leave()
+    {
+        acceptor.close();
+        for (const auto &socket : sockets) {
+            socket->close();
+        }
+        sockets.clear();
+    }
+
     asio::awaitable<void> acceptConnections()
     {
+        boost::system::error_code error;
         while (true) {
-            sockets.push_back(std::make_shared<tcp::socket>(
-                    co_await acceptor.async_accept(asio::use_awaitable)));
+            auto socket = std::make_shared<tcp::socket>(co_await acceptor.async_accept(
+                    asio::redirect_error(asio::use_awaitable, error)));
+            if (error) {
+                co_return;
+            }
+            sockets.push_back(std::move(socket));
             asio::co_spawn(context, serve(sockets.back()), asio::detached);
         }
     }
@@ -119,8 +133,9 @@
             carryOut(request);
             co_await clock.sleepFor(milliseconds(waits ? 100 : 1));
             http::response<http::string_body> response(http::status::ok, 11);
-            response.body() = "{\"clock_ms\":5,\"born\":" + std::to_string(born)
-                              + ",\"running\":[],\"ended_runs\":[]}";
+            response.body() = "{\"clock_ms\":" + std::to_string(clockMs)
+                              + ",\"born\":" + std::to_string(born)
+                              + ",\"running\":[],\"ended_runs\":" + endedRuns + "}";
             response.keep_alive(!closesAfterResponse);
             response.prepare_payload();
             if (!socket->is_open()) {
@@ -132,6 +147,9 @@
                 socket->close();
                 co_return;
             }
+            if (leavesAfterResponse) {
+                leave();
+            }
         }
     }
 
@@ -174,10 +192,13 @@
         const auto response = co_await client.renewLease(target, request);
         const auto *report = std::get_if<worker_report>(&response);
         reportedBy.push_back(report == nullptr ? milliseconds(-1) : report->startTime);
+        reportedEnds.push_back(report == nullptr ? 0 : report->ended.size());
     }
 
     void run(asio::awaitable<void> call, milliseconds span = milliseconds(200))
     {
+        // A context without work, as after the worker has left, has to be restarted.
+        context.restart();
         asio::co_spawn(context, std::move(call), asio::detached);
         context.run_for(span);
     }
@@ -191,12 +212,18 @@
     std::vector<std::shared_ptr<tcp::socket>> sockets;
     worker_call_target target;
     int born = 1;
+    int clockMs = 5;
+    std::string endedRuns = "[]";
     bool closesAfterResponse = false;
+    bool leavesAfterResponse = false;
     std::vector<std::string> carriedOut;
     std::vector<worker_call_result> results;
     std::vector<milliseconds> reportedBy;
+    std::vector<std::size_t> reportedEnds;
 };
 
+constexpr auto oneRunDone = R"([[1,"00000000000000aa.0.0.0",1,"done",""]])";
+
 } // namespace
 
 // The session of an earlier leadership may still wait for a renewal when the next one begins. Both
@@ -269,4 +296,47 @@
     EXPECT_EQ(worker.reportedBy.back(), milliseconds(2));
 }
 
+// The end of a run was listed in the answer that proves the process, which was dropped when the
+// worker left before it answered the request; its task was started again.
+TEST(http_worker_client, readsWhatAWorkerListsBeforeItLeaves)
+{
+    for (const milliseconds wait : {milliseconds(0), milliseconds(50)}) {
+        restarting_worker worker(wait.count() == 0 ? 18'788 : 18'789);
+        worker.endedRuns = oneRunDone;
+        worker.leavesAfterResponse = true;
+        worker.run(worker.renew(wait));
+        worker.run(worker.renew(wait));
+        EXPECT_EQ(worker.reportedEnds, (std::vector<std::size_t>{1, 0}));
+        EXPECT_EQ(worker.reportedBy, (std::vector{milliseconds(1), milliseconds(-1)}));
+    }
+}
+
+// The same before an order, whose answer has no place for ends.
+TEST(http_worker_client, readsWhatAWorkerListsBeforeAnOrderThatItDoesNotGet)
+{
+    restarting_worker worker(18'790);
+    worker.endedRuns = oneRunDone;
+    worker.leavesAfterResponse = true;
+    worker.run(worker.stopRun());
+    EXPECT_NE(worker.results.back(), worker_call_result::done);
+    worker.run(worker.renew(milliseconds(0)));
+    worker.run(worker.renew(milliseconds(0)));
+    EXPECT_EQ(worker.reportedEnds, (std::vector<std::size_t>{1, 0}));
+}
+
+// A report from before the last renewal would list runs that have ended since.
+TEST(http_worker_client, forgetsAReportOnceALaterOneIsRead)
+{
+    restarting_worker worker(18'791);
+    worker.endedRuns = oneRunDone;
+    worker.run(worker.startRun());
+    worker.endedRuns = "[]";
+    worker.clockMs = 6;
+    worker.run(worker.renew(milliseconds(0)));
+    worker.leave();
+    worker.run(worker.renew(milliseconds(0)));
+    EXPECT_EQ(worker.reportedEnds, (std::vector<std::size_t>{0, 0}));
+    EXPECT_EQ(worker.reportedBy, (std::vector{milliseconds(1), milliseconds(-1)}));
+}
+
 } // namespace mango::test
