jobs: Limit the memory that open jobs hold

Some 20 accepted jobs of 10500 steps, each within the limits for one job, took all control processes over the memory of their machines, again and again, since the jobs are in the log.

Nothing added up what open jobs hold. Each replica now keeps an account of it, counted as for the process that leads, and the leader refuses a job without room with 503 and the time after which there should be some; 400 for one that could never fit. Occurrences of schedules are opened as far as there is room.

--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -4,6 +4,7 @@
 #include "Common/log.h"
 #include "Dispatch/call_subject.h"
 #include "Dispatch/crash_tracking.h"
+#include "Jobs/job_memory.h"
 
 namespace mango {
 
@@ -97,6 +98,40 @@
     return response;
 }
 
+// Returns the response to a job that would hold more memory than open jobs may; nothing when there
+// is room for it.
+std::optional<fleet_response> refuseForMemory(dispatch_state &state, std::uint64_t job,
+                                              std::uint64_t bytes)
+{
+    const open_job_account &account = state.context.machine.openJobs();
+    const open_job_limits &limits = state.context.openJobs;
+    const submission_verdict verdict = judgeSubmission(account, bytes, limits);
+    if (verdict == submission_verdict::admitted) {
+        return std::nullopt;
+    }
+    const bool tooLarge = verdict == submission_verdict::tooLarge;
+    fleet_response response =
+            responseOf(tooLarge ? fleet_outcome::invalid : fleet_outcome::overloaded);
+    response.text = "the job would hold " + std::to_string(bytes) + " bytes of memory; "
+                    + (tooLarge ? "all open jobs may hold " + std::to_string(limits.bytes)
+                                : std::string("open jobs leave less"));
+    if (!tooLarge) {
+        response.retryAfter = timeUntilRoom(account, bytes, limits, state.context.clock.now());
+    }
+    const char *reason = tooLarge ? "too_large" : "no_room";
+    ++state.context.metricsRegistry.at(std::string("mango_submissions_refused_total{reason=\"")
+                                       + reason + "\"}");
+    logEvent(log_part::scheduler, "submission-refused",
+             {{"job", formatJobId(job)},
+              {"reason", reason},
+              {"bytes", bytes},
+              {"held_bytes", account.heldBytes},
+              {"proposed_bytes", account.proposedBytes},
+              {"limit_bytes", limits.bytes},
+              {"retry_after_ms", response.retryAfter.count()}});
+    return response;
+}
+
 asio::awaitable<fleet_response> serve(dispatch_handle state, submit_call call,
                                       const fleet_call &origin)
 {
@@ -133,6 +168,11 @@
     if (isCancelledEarly(current, job, receivedAfter)) {
         co_return refuseEarlyCancelled(*state, job);
     }
+    const std::uint64_t bytes = jobMemory(call.graph).sum();
+    if (auto refusal = refuseForMemory(*state, job, bytes)) {
+        co_return std::move(*refusal);
+    }
+    const proposed_job_room proposed(state->context.machine.openJobs(), bytes);
     const std::string queue = subject.route->name;
     const std::size_t steps = call.graph.steps.size();
     fleet_command change = submit_job{job, termsOf(*subject.route, *customer),
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -103,9 +103,10 @@
     , m_relayedWorkers(executor, clock, links, events.stamps(), metricsRegistry, workers,
                        settings.timing.responseTimeout, &m_work)
     , m_receipts(leadershipCheckInterval)
-    , m_context{executor,        clock,     metricsRegistry,
-                m_replica,       m_machine, m_relayedWorkers,
-                settings.timing, m_work,    settings.registrations}
+    , m_context{executor,         clock,     metricsRegistry,
+                m_replica,        m_machine, m_relayedWorkers,
+                settings.timing,  m_work,    settings.registrations,
+                settings.openJobs}
 {}
 
 fleet_server::~fleet_server()
@@ -243,6 +244,8 @@
     m_work.exportTotals();
     m_context.metricsRegistry.at("mango_registered_workers") = m_machine.state().workers.size();
     m_context.metricsRegistry.at("mango_memory_bytes{part=\"workers\"}") = m_machine.workerBytes();
+    m_context.metricsRegistry.at("mango_memory_bytes{part=\"open_jobs\"}") =
+            m_machine.openJobs().heldBytes;
     const work_totals totals = m_work.totals();
     const steady_span processor = m_context.clock.processorTime();
     const link_totals links = linkTotalsOf(m_context.metricsRegistry);
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -39,6 +39,8 @@
     std::uint64_t connectionMemory = 64ULL << 20U;
     // What the registered workers hold together.
     registration_limits registrations;
+    // What the open jobs hold together.
+    open_job_limits openJobs;
     // With more workers the leader calls them through the other replicas.
     std::size_t directWorkers = 600;
     // The time limit of a planned stop.
--- a/Source/Dispatch/fleet_settings.cxx
+++ b/Source/Dispatch/fleet_settings.cxx
@@ -66,6 +66,7 @@
     const connection_budget_limits available =
             divideMachine(machine.memoryBytes, machine.descriptors);
     settings.registrations = limitRegistrations(machine.memoryBytes);
+    settings.openJobs = limitOpenJobs(machine.memoryBytes);
     settings.connections = divideConnections(available.connections);
     settings.connectionMemory = available.bytes;
     settings_reader timing(sectionOf(sections, "timing"), path);
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -11,6 +11,7 @@
 #include "Dispatch/straggler_runs.h"
 #include "Dispatch/task_placement.h"
 #include "Dispatch/trial_runs.h"
+#include "Jobs/job_memory.h"
 #include "Jobs/occurrence_window.h"
 
 namespace mango {
@@ -98,15 +99,24 @@
     }
 }
 
-// Adds the occurrences of the job that should be open and are not.
+// Adds the occurrences of the job that should be open and are not, as far as there is room in
+// memory for them. A job without an open occurrence has room for one.
 void collectOpenings(const dispatch_state &state, std::uint64_t number, const job_state &job,
-                     open_occurrences &due)
+                     std::uint64_t &room, open_occurrences &due)
 {
     const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
             state.context.clock.wallTime().time_since_epoch());
-    const std::uint32_t count = occurrencesToOpen(job, wall);
-    if (count > job.openedOccurrences) {
-        due.openings.push_back({number, count});
+    std::uint32_t count = occurrencesToOpen(job, wall) - job.openedOccurrences;
+    if (count == 0) {
+        return;
+    }
+    const std::uint32_t reserved = job.occurrences.empty() ? 1 : 0;
+    const std::uint64_t bytes = occurrenceMemory(job.graph).sum();
+    count = static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(count, reserved + room / std::max<std::uint64_t>(1, bytes)));
+    if (count > 0) {
+        room -= (count - reserved) * bytes;
+        due.openings.push_back({number, job.openedOccurrences + count});
     }
 }
 
@@ -115,6 +125,7 @@
     std::vector<ready_step> ready;
     const steady_time now = state.context.clock.now();
     const auto &committed = state.context.machine.state().jobs;
+    std::uint64_t room = freeBytes(state.context.machine.openJobs(), state.context.openJobs);
     for (auto &[number, job] : state.jobs) {
         if (job.isSettled) {
             continue;
@@ -129,7 +140,7 @@
         // Time makes the occurrences of a schedule ready.
         job.isSettled = !graph.schedule;
         if (graph.schedule) {
-            collectOpenings(state, number, found->second, due);
+            collectOpenings(state, number, found->second, room, due);
         }
         for (auto &[at, steps] : job.occurrences) {
             for (std::uint32_t step = 0; step < steps.size(); ++step) {
--- a/Source/Fleet/fleet_state_machine.cxx
+++ b/Source/Fleet/fleet_state_machine.cxx
@@ -1,6 +1,7 @@
 #include "Fleet/fleet_state_machine.h"
 
 #include "Fleet/worker_registration.h"
+#include "Jobs/job_memory.h"
 #include "Wire/codec.h"
 
 namespace mango {
@@ -17,6 +18,35 @@
     return removed == nullptr ? "" : removed->incarnation.id;
 }
 
+// Returns the jobs that the command may add or end, or whose occurrences it may open or close.
+std::set<std::uint64_t> jobsOf(const fleet_command &change)
+{
+    std::set<std::uint64_t> jobs;
+    if (const auto *submitted = std::get_if<submit_job>(&change)) {
+        jobs.insert(submitted->job);
+    } else if (const auto *cancelled = std::get_if<cancel_job>(&change)) {
+        jobs.insert(cancelled->job);
+    } else if (const auto *opened = std::get_if<open_occurrences>(&change)) {
+        for (const open_occurrences::opening &one : opened->openings) {
+            jobs.insert(one.job);
+        }
+    } else if (const auto *ended = std::get_if<end_runs>(&change)) {
+        for (const end_runs::run_end &end : ended->ends) {
+            jobs.insert(end.key.task.job);
+        }
+    } else if (const auto *explained = std::get_if<explain_silences>(&change)) {
+        for (const explain_silences::explanation &one : explained->explanations) {
+            jobs.insert(one.key.task.job);
+        }
+    }
+    return jobs;
+}
+
+std::uint64_t openJobBytes(const job_state &job)
+{
+    return jobMemory(job.graph, job.occurrences.size()).sum();
+}
+
 } // namespace
 
 std::optional<std::any> fleet_state_machine::apply(std::uint64_t /*index*/,
@@ -35,6 +65,7 @@
     m_workerBytes -= workerBytesOf(worker);
     const fleet_command_result outcome = mango::apply(m_state, change);
     m_workerBytes += workerBytesOf(worker);
+    updateOpenJobs(change);
     if (const auto *submitted = std::get_if<submit_job>(&change)) {
         m_knownSince.try_emplace(submitted->job, m_clock.now());
     }
@@ -71,12 +102,28 @@
         m_workerBytes += registeredBytes(record);
     }
     m_sightings = {};
+    const std::uint64_t proposedBytes = m_openJobs.proposedBytes;
+    m_openJobs = {};
+    m_openJobs.proposedBytes = proposedBytes;
     for (const auto &[job, content] : m_state.jobs) {
+        recordOpenJob(m_openJobs, job, openJobBytes(content));
         m_knownSince.try_emplace(job, m_clock.now());
     }
     return true;
 }
 
+void fleet_state_machine::updateOpenJobs(const fleet_command &change)
+{
+    for (const std::uint64_t number : jobsOf(change)) {
+        const auto job = m_state.jobs.find(number);
+        if (job == m_state.jobs.end()) {
+            removeOpenJob(m_openJobs, number, m_clock.now());
+        } else if (job->second.graph.schedule || !m_openJobs.bytesByJob.contains(number)) {
+            recordOpenJob(m_openJobs, number, openJobBytes(job->second));
+        }
+    }
+}
+
 std::uint64_t fleet_state_machine::workerBytesOf(const std::string &id) const
 {
     const auto known = m_state.workers.find(id);
--- a/Source/Fleet/fleet_state_machine.h
+++ b/Source/Fleet/fleet_state_machine.h
@@ -3,6 +3,7 @@
 #include <functional>
 
 #include "Consensus/replica.h"
+#include "Fleet/open_job_account.h"
 #include "Fleet/run_sightings.h"
 
 namespace mango {
@@ -44,12 +45,20 @@
         return m_workerBytes;
     }
 
+    // What the open jobs hold together.
+    [[nodiscard]] open_job_account &openJobs()
+    {
+        return m_openJobs;
+    }
+
 private:
+    void updateOpenJobs(const fleet_command &change);
     [[nodiscard]] std::uint64_t workerBytesOf(const std::string &id) const;
 
     const clock_source &m_clock;
     fleet_state m_state;
     std::uint64_t m_workerBytes = 0;
+    open_job_account m_openJobs;
     std::map<std::uint64_t, steady_time> m_knownSince;
     run_sightings m_sightings;
     observer m_observer;
--- a/Source/Fleet/worker_registration.cxx
+++ b/Source/Fleet/worker_registration.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "Common/heap_bytes.h"
+
 namespace mango {
 
 namespace {
@@ -14,23 +16,6 @@
 // Nodes of the maps that hold a worker's record, sequence and incarnation numbers.
 constexpr std::uint64_t indexBytes = 512;
 
-// Returns what the allocator takes for a block of this size, with its header and alignment.
-std::uint64_t allocatedBytes(std::uint64_t size)
-{
-    constexpr std::uint64_t headerBytes = 8;
-    constexpr std::uint64_t alignment = 16;
-    constexpr std::uint64_t smallestBlock = 32;
-    const std::uint64_t aligned = (size + headerBytes + alignment - 1) / alignment * alignment;
-    return size == 0 ? 0 : std::max(smallestBlock, aligned);
-}
-
-std::uint64_t heapBytesOf(const std::string &text)
-{
-    // Short strings are stored in the object itself.
-    static const std::size_t inlineCapacity = std::string().capacity();
-    return text.capacity() <= inlineCapacity ? 0 : allocatedBytes(text.capacity() + 1);
-}
-
 std::string describeName(const char *field, const std::string &name)
 {
     if (name.size() <= maximumWorkerNameBytes) {
--- a/Source/Wire/fleet_messages.h
+++ b/Source/Wire/fleet_messages.h
@@ -152,14 +152,17 @@
     // No leader is known, or the callee has lost contact with the group; the call had no effect.
     unavailable,
     // The queue needs a key, and the caller has none that the configuration knows.
-    unauthorized
+    unauthorized,
+    // Not accepted and without effect, since open jobs hold all memory that they may; the caller
+    // may retry after `retryAfter`.
+    overloaded
 };
 
 // The response to a fleet_call; the fields that do not apply are empty.
 struct fleet_response
 {
     fleet_outcome outcome = fleet_outcome::unavailable;
-    // When refused: how long to wait before a retry.
+    // When refused or overloaded: how long to wait before a retry.
     std::chrono::milliseconds retryAfter{0};
     std::optional<job_phase> phase;
     std::optional<std::uint64_t> waiting;
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -149,6 +149,7 @@
             settings.replicas.mayBootstrap = firstStart;
             settings.directWorkers = group.m_directWorkers;
             settings.registrations = group.registrations;
+            settings.openJobs = group.openJobs;
             for (std::size_t other = 0; other < group.m_seedCount; ++other) {
                 settings.replicas.seeds.push_back(addressOf(other));
             }
@@ -319,6 +320,8 @@
 
     // What the registered workers of the processes that start after a change may hold.
     registration_limits registrations;
+    // What their open jobs may hold.
+    open_job_limits openJobs;
 
     std::unique_ptr<boost::asio::io_context> context = std::make_unique<boost::asio::io_context>(1);
     fake_clock clock{*context};
