platform: Count decoded jobs by their measured size

The budget of connections counted 16 bytes for each byte of a body, but a decoded step takes 168 bytes whatever its text, and is kept twice, beside its encoded text, until the leader has answered.

The handler of a request now counts what it keeps once the job is decoded, and refuses the request with 503 when there is no room. More than 20000 steps are refused before they are decoded.

--- a/Source/Http/beast_messages.h
+++ b/Source/Http/beast_messages.h
@@ -39,6 +39,25 @@
     }
 }
 
+// Returns the status that tells the sender why its request could not be read.
+inline unsigned statusOfReadError(const boost::system::error_code &error)
+{
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    const bool tooLong =
+            error == http::error::header_limit || error == http::error::buffer_overflow;
+    return tooLong ? 431 : 400;
+}
+
+// True when the request is malformed. A truncated request counts too and gets a response, since its
+// sender may still be reading.
+inline bool isProtocolError(const boost::system::error_code &error)
+{
+    return error.category() == make_error_code(http::error::bad_version).category()
+           && error != http::error::end_of_stream;
+}
+
 // Returns a message with a body of known length as it is sent. A write of the text takes one
 // buffer; a write of the message goes through a sequence of many, at several times the cost of a
 // short message.
--- a/Source/Http/http_message.h
+++ b/Source/Http/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -26,6 +27,10 @@
     std::uint64_t receiptMark = 0;
     // The sender had closed the connection, at least its own side, before the request was read.
     bool senderClosed = false;
+    // Counts what is kept for the request while it is served, in place of what the server has
+    // estimated from the size of its body. Returns false when the connections of the process leave
+    // no room for it; the request is to be refused then. Empty for a request of no server.
+    std::function<bool(std::uint64_t bytes)> reserve = {};
 };
 
 // A complete HTTP response.
--- a/Source/Http/http_server.cxx
+++ b/Source/Http/http_server.cxx
@@ -74,24 +74,6 @@
     std::uint64_t &crowded;
 };
 
-unsigned statusOf(const error_code &error)
-{
-    if (error == http::error::body_limit) {
-        return 413;
-    }
-    const bool tooLong =
-            error == http::error::header_limit || error == http::error::buffer_overflow;
-    return tooLong ? 431 : 400;
-}
-
-// True when the request is malformed. A truncated request counts too and gets a response, since its
-// sender may still be reading.
-bool isProtocolError(const error_code &error)
-{
-    return error.category() == make_error_code(http::error::bad_version).category()
-           && error != http::error::end_of_stream;
-}
-
 // Cancels a read that times out but keeps the connection open, so that a response can be sent. The
 // timer may have expired, with its handler still queued, when the read ends; the handler then does
 // nothing.
@@ -286,9 +268,9 @@
     if (error == asio::error::no_memory) {
         co_return 503U;
     }
-    if (tooSlow || isProtocolError(error)) {
+    if (tooSlow || detail::isProtocolError(error)) {
         ++state.malformed;
-        co_return tooSlow ? 408U : statusOf(error);
+        co_return tooSlow ? 408U : detail::statusOfReadError(error);
     }
     co_return std::monostate{};
 }
@@ -354,6 +336,9 @@
         http_request request = toRequest(std::move(*message), peer);
         request.receiptMark = receiptMark;
         request.senderClosed = pendingInputOf(lowestLayer) == pending_input::end;
+        request.reserve = [&budgeted, &buffer](std::uint64_t bytes) {
+            return budgeted.update(connection_stage::serving, buffer.capacity() + bytes);
+        };
         http_response response = co_await state->handler(std::move(request));
         if (headOnly) {
             response.body.clear();
--- a/Tests/Crowd/crowd_test.cxx
+++ b/Tests/Crowd/crowd_test.cxx
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <thread>
 
 #include <boost/asio.hpp>
 
@@ -14,6 +15,8 @@
 using asio::ip::tcp;
 
 constexpr std::size_t writeBytes = 32U << 10U;
+// How long a crowd that has sent everything stays, so that its requests are being served.
+constexpr auto servingTime = std::chrono::seconds(1);
 // Ends a crowd whose connections make no progress any more.
 constexpr auto crowdTime = std::chrono::seconds(20);
 
@@ -181,6 +184,29 @@
     play({chunkedHead(requestLine()), chunk, 25'000 * chunk.size() + 3, 500});
 }
 
+// Bodies within the limit, whose steps take many times the memory of their text, were counted by
+// their text.
+TEST_P(crowds, sendBodiesOfSmallSteps)
+{
+    // Without its answers, the edge keeps all requests that it has passed on.
+    deployment.suspendControl(GetParam() == door::callers);
+    for (const std::size_t steps : {87'000U, 20'000U}) {
+        const std::string step = steps > 20'000 ? "{}" : R"({"count":1})";
+        std::string body = R"({"spec":"s","steps":[)" + step;
+        for (std::size_t number = 1; number < steps; ++number) {
+            body += "," + step;
+        }
+        body += "]}";
+        const crowd clients(server(),
+                            {requestLine() + " HTTP/1.1\r\nHost: h.example\r\nContent-Length: "
+                                     + std::to_string(body.size()) + "\r\n\r\n" + body,
+                             "", 0, 30});
+        std::this_thread::sleep_for(servingTime);
+    }
+    deployment.suspendControl(false);
+    expectBoundsAndService();
+}
+
 // Connections beyond the descriptors of the process kept it from its other work.
 TEST_P(crowds, openConnectionsBeyondTheDescriptors)
 {
--- a/Tests/Crowd/small_deployment.cxx
+++ b/Tests/Crowd/small_deployment.cxx
@@ -167,6 +167,11 @@
     return m_folder / (process + ".log");
 }
 
+void small_deployment::suspendControl(bool suspended)
+{
+    m_processes.sendSignal("control", suspended ? "STOP" : "CONT");
+}
+
 std::string small_deployment::logs() const
 {
     std::string all;
--- a/Tests/Crowd/small_deployment.h
+++ b/Tests/Crowd/small_deployment.h
@@ -27,6 +27,8 @@
     // Starts both processes and hands in a configuration; returns false when that did not succeed.
     bool start();
     [[nodiscard]] bool bothRun() const;
+    // Stops the control process for a while, or lets it go on.
+    void suspendControl(bool suspended);
     // What both processes have logged so far.
     [[nodiscard]] std::string logs() const;
 
--- a/Tests/Unit/platform_codec_test.cxx
+++ b/Tests/Unit/platform_codec_test.cxx
@@ -170,6 +170,19 @@
     EXPECT_EQ(encodeQueueState(0, job_phase::running, ""), R"({"state":"running","waiting":0})");
 }
 
+// Steps that no valid job has were decoded before the job was refused.
+TEST(platform_codec, refusesMoreStepsThanAJobMayHaveTasks)
+{
+    std::string body = R"({"steps":[{"count":1})";
+    for (std::uint64_t steps = 1; steps < maximumTasks; ++steps) {
+        body += ",{}";
+    }
+    EXPECT_TRUE(std::holds_alternative<job_graph>(decodeJob(body + "]}")));
+    const auto decoded = decodeJob(body + ",{}]}");
+    ASSERT_TRUE(std::holds_alternative<invalid_field>(decoded));
+    EXPECT_EQ(std::get<invalid_field>(decoded).reason, "has more than 20000 steps");
+}
+
 TEST(platform_codec, namesTheInvalidFieldOfAJob)
 {
     const auto invalidFieldOf = [](const std::string &body) {
