dispatch: Log the last calls to workers that leave

What a worker lists in its last answers cannot be asked for again, and the log did not tell how the calls ended that were in flight as it left.

--- a/Source/Dispatch/worker_session.cxx
+++ b/Source/Dispatch/worker_session.cxx
@@ -101,6 +101,25 @@
                    : 0;
 }
 
+// Logs how a call for a report to a worker that leaves or has left ended: what it lists there
+// cannot be asked for again.
+void logLastCall(const dispatch_state &state, const tracked_worker &worker, steady_time sentAt,
+                 const std::variant<worker_report, worker_response> &response)
+{
+    const auto *report = std::get_if<worker_report>(&response);
+    const auto *failure = std::get_if<worker_response>(&response);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+            state.context.clock.now() - sentAt);
+    logEvent(log_part::scheduler, "last-call",
+             {{"worker", worker.record.incarnation.id},
+              {"exited", worker.exited ? "yes" : "no"},
+              {"answer", failure == nullptr ? "report" : toText(failure->result)},
+              {"relay_failed", failure != nullptr && failure->relayFailed ? "yes" : "no"},
+              {"ends", report == nullptr ? 0 : report->ended.size()},
+              {"took_ms", took.count()},
+              {"in_flight", worker.reportCallsInFlight.size()}});
+}
+
 // Calls for a report. What became of the runs of a worker that is gone is decided only when no such
 // call is in flight.
 asio::awaitable<std::variant<worker_report, worker_response>>
@@ -113,6 +132,9 @@
         worker->failedCallSentAt =
                 std::max(worker->failedCallSentAt.value_or(steady_time{}), *sentAt);
     }
+    if (worker->departureAnnounced) {
+        logLastCall(*state, *worker, *sentAt, response);
+    }
     worker->reportCallsInFlight.erase(sentAt);
     if (auto *report = std::get_if<worker_report>(&response)) {
         const std::size_t dropped = dropLargeCheckpoints(*report);
