--- a/Source/Dispatch/caller_service.cxx
+++ b/Source/Dispatch/caller_service.cxx
@@ -104,8 +104,7 @@
                                               std::uint64_t bytes)
 {
     const open_job_account &account = state.context.machine.openJobs();
-    const open_job_limits &limits = state.context.openJobs;
-    const submission_verdict verdict = judgeSubmission(account, bytes, limits);
+    const submission_verdict verdict = judgeSubmission(account, bytes);
     if (verdict == submission_verdict::admitted) {
         return std::nullopt;
     }
@@ -113,10 +112,10 @@
     fleet_response response =
             responseOf(tooLarge ? fleet_outcome::invalid : fleet_outcome::overloaded);
     response.text = "the job would hold " + std::to_string(bytes) + " bytes of memory; "
-                    + (tooLarge ? "all open jobs may hold " + std::to_string(limits.bytes)
+                    + (tooLarge ? "all open jobs may hold " + std::to_string(account.limits.bytes)
                                 : std::string("open jobs leave less"));
     if (!tooLarge) {
-        response.retryAfter = timeUntilRoom(account, bytes, limits, state.context.clock.now());
+        response.retryAfter = timeUntilRoom(account, bytes, state.context.clock.now());
     }
     const char *reason = tooLarge ? "too_large" : "no_room";
     ++state.context.metricsRegistry.at(std::string("mango_submissions_refused_total{reason=\"")
@@ -127,7 +126,7 @@
               {"bytes", bytes},
               {"held_bytes", account.heldBytes},
               {"proposed_bytes", account.proposedBytes},
-              {"limit_bytes", limits.bytes},
+              {"limit_bytes", account.limits.bytes},
               {"retry_after_ms", response.retryAfter.count()}});
     return response;
 }
--- a/Source/Dispatch/dispatch_state.h
+++ b/Source/Dispatch/dispatch_state.h
@@ -58,7 +58,6 @@
     dispatch_timing timing;
     work_meter &work;
     registration_limits registrations;
-    open_job_limits openJobs;
 };
 
 // The leader's view of a run, which is more detailed than the replicated state.
--- a/Source/Dispatch/fleet_server.cxx
+++ b/Source/Dispatch/fleet_server.cxx
@@ -103,11 +103,12 @@
     , m_relayedWorkers(executor, clock, links, events.stamps(), metricsRegistry, workers,
                        settings.timing.responseTimeout, &m_work)
     , m_receipts(leadershipCheckInterval)
-    , m_context{executor,         clock,     metricsRegistry,
-                m_replica,        m_machine, m_relayedWorkers,
-                settings.timing,  m_work,    settings.registrations,
-                settings.openJobs}
-{}
+    , m_context{executor,        clock,     metricsRegistry,
+                m_replica,       m_machine, m_relayedWorkers,
+                settings.timing, m_work,    settings.registrations}
+{
+    m_machine.openJobs().limits = settings.openJobs;
+}
 
 fleet_server::~fleet_server()
 {
@@ -437,7 +438,7 @@
 
 // True when this replica has applied a configuration that is as new as the one in the call. Applied
 // commands are committed, so the order is acknowledged without the leader.
-bool fleet_server::isOvertaken(const fleet_request &request) const
+bool fleet_server::isInForce(const fleet_request &request) const
 {
     const auto *order = std::get_if<configure_call>(&request);
     return order != nullptr
@@ -453,7 +454,7 @@
     const bool isRead = std::holds_alternative<read_configuration_call>(call.request);
     const std::string order = describeOrder(call.request);
     fleet_response response = responseOf(fleet_outcome::accepted);
-    if (m_stopping || !isOvertaken(call.request)) {
+    if (m_stopping || !isInForce(call.request)) {
         response = co_await serveOrForward(std::move(call));
     }
     logEvent(log_part::control, isRead ? "configuration-read" : "order",
--- a/Source/Dispatch/fleet_server.h
+++ b/Source/Dispatch/fleet_server.h
@@ -117,7 +117,7 @@
     boost::asio::awaitable<fleet_response> serveLocally(fleet_call call);
     // Answers an operator's order or read of the configuration and logs how.
     boost::asio::awaitable<fleet_response> serveOperator(fleet_call call);
-    [[nodiscard]] bool isOvertaken(const fleet_request &request) const;
+    [[nodiscard]] bool isInForce(const fleet_request &request) const;
     boost::asio::awaitable<fleet_response> forwardToLeader(fleet_call forwarded);
     boost::asio::awaitable<void> watchLeadership();
     void recordLag(steady_span lag);
--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -125,7 +125,7 @@
     std::vector<ready_step> ready;
     const steady_time now = state.context.clock.now();
     const auto &committed = state.context.machine.state().jobs;
-    std::uint64_t room = freeBytes(state.context.machine.openJobs(), state.context.openJobs);
+    std::uint64_t room = freeBytes(state.context.machine.openJobs());
     for (auto &[number, job] : state.jobs) {
         if (job.isSettled) {
             continue;
--- a/Source/Fleet/fleet_state_machine.cxx
+++ b/Source/Fleet/fleet_state_machine.cxx
@@ -102,9 +102,7 @@
         m_workerBytes += registeredBytes(record);
     }
     m_sightings = {};
-    const std::uint64_t proposedBytes = m_openJobs.proposedBytes;
-    m_openJobs = {};
-    m_openJobs.proposedBytes = proposedBytes;
+    clearOpenJobs(m_openJobs);
     for (const auto &[job, content] : m_state.jobs) {
         recordOpenJob(m_openJobs, job, openJobBytes(content));
         m_knownSince.try_emplace(job, m_clock.now());
--- a/Source/Fleet/open_job_account.cxx
+++ b/Source/Fleet/open_job_account.cxx
@@ -27,6 +27,13 @@
     return {memoryBytes / memoryDivisor};
 }
 
+void clearOpenJobs(open_job_account &account)
+{
+    account.bytesByJob.clear();
+    account.heldBytes = 0;
+    account.releases.clear();
+}
+
 void recordOpenJob(open_job_account &account, std::uint64_t job, std::uint64_t bytes)
 {
     std::uint64_t &recorded = account.bytesByJob[job];
@@ -46,27 +53,26 @@
     account.bytesByJob.erase(found);
 }
 
-submission_verdict judgeSubmission(const open_job_account &account, std::uint64_t bytes,
-                                   const open_job_limits &limits)
+submission_verdict judgeSubmission(const open_job_account &account, std::uint64_t bytes)
 {
-    if (bytes > limits.bytes) {
+    if (bytes > account.limits.bytes) {
         return submission_verdict::tooLarge;
     }
-    const bool fits = bytes <= freeBytes(account, limits);
+    const bool fits = bytes <= freeBytes(account);
     return fits ? submission_verdict::admitted : submission_verdict::noRoom;
 }
 
-std::uint64_t freeBytes(const open_job_account &account, const open_job_limits &limits)
+std::uint64_t freeBytes(const open_job_account &account)
 {
     const std::uint64_t taken = account.heldBytes + account.proposedBytes;
-    return taken < limits.bytes ? limits.bytes - taken : 0;
+    return taken < account.limits.bytes ? account.limits.bytes - taken : 0;
 }
 
 std::chrono::milliseconds timeUntilRoom(const open_job_account &account, std::uint64_t bytes,
-                                        const open_job_limits &limits, steady_time now)
+                                        steady_time now)
 {
     const std::uint64_t needed = account.heldBytes + account.proposedBytes + bytes;
-    const std::uint64_t missing = needed > limits.bytes ? needed - limits.bytes : 0;
+    const std::uint64_t missing = needed > account.limits.bytes ? needed - account.limits.bytes : 0;
     std::uint64_t released = 0;
     for (const open_job_account::release &one : account.releases) {
         released += now - one.at <= releaseMemory ? one.bytes : 0;
--- a/Source/Fleet/open_job_account.h
+++ b/Source/Fleet/open_job_account.h
@@ -28,6 +28,7 @@
         std::uint64_t bytes = 0;
     };
 
+    open_job_limits limits;
     std::map<std::uint64_t, std::uint64_t> bytesByJob;
     std::uint64_t heldBytes = 0;
     // Of submissions that are being committed.
@@ -36,6 +37,10 @@
     std::deque<release> releases;
 };
 
+// Removes all jobs, as before a snapshot is read. The limits stay, and submissions that are being
+// committed still count.
+void clearOpenJobs(open_job_account &account);
+
 // Records what a job holds that has become known, or whose open occurrences have changed.
 void recordOpenJob(open_job_account &account, std::uint64_t job, std::uint64_t bytes);
 
@@ -51,16 +56,15 @@
 };
 
 // Decides whether a job that holds this many bytes may be accepted.
-submission_verdict judgeSubmission(const open_job_account &account, std::uint64_t bytes,
-                                   const open_job_limits &limits);
+submission_verdict judgeSubmission(const open_job_account &account, std::uint64_t bytes);
 
 // Returns how many bytes further jobs and occurrences may hold.
-std::uint64_t freeBytes(const open_job_account &account, const open_job_limits &limits);
+std::uint64_t freeBytes(const open_job_account &account);
 
 // Returns when a job that found no room should be submitted again: when there is room for it if
 // open jobs go on to end as fast as lately, between 1 and 30 s from now.
 std::chrono::milliseconds timeUntilRoom(const open_job_account &account, std::uint64_t bytes,
-                                        const open_job_limits &limits, steady_time now);
+                                        steady_time now);
 
 // The room of a submission that is being committed, for as long as the object exists.
 class proposed_job_room
--- a/Tests/Unit/worker_client_test.cxx
+++ b/Tests/Unit/worker_client_test.cxx
@@ -339,4 +339,15 @@
     EXPECT_EQ(worker.reportedBy, (std::vector{milliseconds(1), milliseconds(-1)}));
 }
 
+// The worker would count as heard although it has been silent for longer.
+TEST(http_worker_client, forgetsAReportThatIsOlderThanARenewalTakes)
+{
+    restarting_worker worker(18'792);
+    worker.endedRuns = oneRunDone;
+    worker.run(worker.startRun(), milliseconds(1000));
+    worker.leave();
+    worker.run(worker.renew(milliseconds(0)));
+    EXPECT_EQ(worker.reportedEnds, std::vector<std::size_t>{0});
+}
+
 } // namespace mango::test
