--- a/Source/Dispatch/schedule_round.cxx
+++ b/Source/Dispatch/schedule_round.cxx
@@ -170,21 +170,38 @@
     return ready;
 }
 
-asio::awaitable<void> commitOpenings(dispatch_handle state, open_occurrences due)
+// Returns what the occurrences hold once they are open.
+std::uint64_t bytesOf(const open_occurrences &due, const fleet_state &committed)
+{
+    std::uint64_t bytes = 0;
+    for (const open_occurrences::opening &one : due.openings) {
+        const job_state &job = committed.jobs.at(one.job);
+        bytes += (one.count - job.openedOccurrences) * occurrenceMemory(job.graph).sum();
+    }
+    return bytes;
+}
+
+// Submissions must not take the room of the occurrences meanwhile.
+asio::awaitable<void> commitOpenings(dispatch_handle state, open_occurrences due,
+                                     std::shared_ptr<proposed_job_room> /*room*/)
 {
     fleet_command change = std::move(due);
     co_await commitCommand(state, std::move(change));
     state->openingProposed = false;
 }
 
-// Proposes to open the occurrences, one command at a time.
+// Proposes to open the occurrences, which have just been collected, one command at a time.
 void proposeOpenings(const dispatch_handle &state, open_occurrences due)
 {
     if (due.openings.empty() || state->openingProposed) {
         return;
     }
     state->openingProposed = true;
-    asio::co_spawn(state->context.executor, commitOpenings(state, std::move(due)), asio::detached);
+    fleet_state_machine &machine = state->context.machine;
+    auto room =
+            std::make_shared<proposed_job_room>(machine.openJobs(), bytesOf(due, machine.state()));
+    asio::co_spawn(state->context.executor, commitOpenings(state, std::move(due), std::move(room)),
+                   asio::detached);
 }
 
 // Proposes the pending ends of runs, and marks acknowledgements that need no commit as committed.
--- a/Tests/Unit/fleet_group.h
+++ b/Tests/Unit/fleet_group.h
@@ -287,13 +287,18 @@
     }
     // Sends a heartbeat to the leader without waiting for its response.
     void sendHeartbeat(const worker_heartbeat &heartbeat)
+    {
+        spawn(heartbeat_call{heartbeat});
+    }
+    // The same for any call; a process that runs gets it while none leads.
+    void spawn(fleet_request request)
     {
         const auto running = std::find_if(nodes.begin(), nodes.end(), [](const auto &one) {
             return one != nullptr;
         });
         fleet_server &server = leader() >= 0 ? leading() : *running->get()->server;
         boost::asio::co_spawn(*context,
-                              callAt(&server, heartbeat_call{heartbeat}, 0,
+                              callAt(&server, std::move(request), 0,
                                      std::make_shared<std::optional<fleet_response>>()),
                               boost::asio::detached);
     }
--- a/Tests/Unit/open_job_account_test.cxx
+++ b/Tests/Unit/open_job_account_test.cxx
@@ -147,6 +147,88 @@
     EXPECT_EQ(group.phase(3), job_phase::completed);
 }
 
+namespace {
+
+std::uint64_t bytesOfOpenJobs(const fleet_state &state)
+{
+    std::uint64_t bytes = 0;
+    for (const auto &[number, job] : state.jobs) {
+        bytes += jobMemory(job.graph, job.occurrences.size()).sum();
+    }
+    return bytes;
+}
+
+job_graph randomJob(seeded_random &draw)
+{
+    job_graph graph = jobOfSteps(1 + draw.below(40), 1 + static_cast<std::uint32_t>(draw.below(8)));
+    if (draw.below(3) == 0) {
+        graph.schedule = job_schedule{static_cast<std::uint32_t>(1 + draw.below(6)),
+                                      milliseconds(0), milliseconds(draw.below(3000))};
+    }
+    return graph;
+}
+
+// Submits and cancels jobs at random, several at a time, while replicas are killed and start again.
+void changeJobsAtRandom(full_group &group, seeded_random &draw)
+{
+    for (int change = 0; change < 40; ++change) {
+        const std::uint64_t job = 1 + draw.below(30);
+        const std::string path = "/price/" + formatJobId(job);
+        switch (draw.below(8)) {
+        case 0:
+            group.call(cancel_call{"h.example", path});
+            break;
+        case 1: {
+            const std::size_t killed = draw.below(3);
+            group.crash(killed);
+            group.run(milliseconds(draw.below(2000)));
+            group.start(killed, false);
+            break;
+        }
+        case 2:
+            group.run(milliseconds(draw.below(3000)));
+            break;
+        default:
+            group.spawn(submit_call{"h.example", path, randomJob(draw)});
+        }
+        if (group.leader() >= 0) {
+            ASSERT_LE(bytesOfOpenJobs(group.leading().state()), group.openJobs.bytes);
+        }
+    }
+}
+
+} // namespace
+
+// The account of a replica differed from what its jobs hold after some order of submissions,
+// cancels, occurrences and restarts, or the jobs held more than they may. Finally all jobs end.
+TEST(open_job_account, differsAfterRandomChangesOfJobsAndLeaders)
+{
+    std::uint64_t first = 1;
+    // MANGO_FIRST_SEED selects other seeds for manual runs.
+    if (const char *given = std::getenv("MANGO_FIRST_SEED"); given != nullptr) {
+        first = std::strtoull(given, nullptr, 10);
+    }
+    for (std::uint64_t seed = first; seed < first + 6; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        seeded_random draw(seed);
+        full_group group(3, 3);
+        for (const char *worker : {"w1", "w2"}) {
+            group.workers.add(worker);
+            group.announce(worker);
+        }
+        changeJobsAtRandom(group, draw);
+        group.run(seconds(5));
+        for (const auto &node : group.nodes) {
+            EXPECT_EQ(node->metricsRegistry.at("mango_memory_bytes{part=\"open_jobs\"}"),
+                      bytesOfOpenJobs(node->server->state()));
+        }
+        for (int wait = 0; wait < 300 && !group.leading().state().jobs.empty(); ++wait) {
+            group.run(seconds(1));
+        }
+        EXPECT_TRUE(group.leading().state().jobs.empty());
+    }
+}
+
 // The account of a waiting job was not what the leader held for it.
 TEST(open_job_account, countsJobsByTheirText)
 {
